--- a/cresspulley/wire.py
+++ b/cresspulley/wire.py
@@ -318,7 +318,7 @@
     return REPLY_HEADER.pack(REPLY_HEADER.size + len(body), len(records)) + body
 
 
-class _Reader:
+class Reader:
     """Typed look-ups in the settings text; errors name the setting."""
 
     def __init__(self, values: dict[str, str]) -> None:
@@ -370,7 +370,12 @@
             if not sign:
                 raise WireError(f"settings line {number} has no '=': {line.strip()!r}")
             values[path] = value
-    r = _Reader(values)
+    return read_settings(values)
+
+
+def read_settings(values: dict[str, str]) -> tuple[Settings, tuple[str, ...]]:
+    """The same from single values by their paths."""
+    r = Reader(values)
     pushed = r.one_of("discovery", {"pushed": True, "on_request": False})
     columns = tuple(c for c in r.text("report.columns", "").split(",") if c)
     return Settings(
@@ -403,7 +408,7 @@
     ), columns
 
 
-def _class(r: _Reader, at: str) -> RequestClass:
+def _class(r: Reader, at: str) -> RequestClass:
     repeat = r.one_of(at + "repeat", REPEATS)
     keyed = repeat is Repeat.KEYED
     return RequestClass(
@@ -418,7 +423,7 @@
     )
 
 
-def _plan(r: _Reader, at: str) -> Plan:
+def _plan(r: Reader, at: str) -> Plan:
     return Plan(
         rate=r.number(at + "refill"),
         burst=r.number(at + "burst"),
--- /dev/null
+++ b/irisdeal/config.py
@@ -0,0 +1,133 @@
+"""From the environment and its JSON file to `Config`. What is wrong is told in one plain line."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from cresspulley import wire
+from cresspulley.interface import Settings
+
+Address = tuple[str, int]
+
+
+class ConfigError(ValueError):
+    """A configuration that cannot be used; the text says where and why."""
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """All that a front door is told at its start. Times are microseconds."""
+
+    name: str
+    listen: Address
+    discovery: Address
+    counter: Address | None
+    seed: int
+    sockets: int
+    known: object | None
+    settings: Settings
+    classes: tuple[str, ...]
+    plans: tuple[str, ...]
+    zones: tuple[str, ...]
+    kinds: tuple[str, ...]
+    connect_timeout: int
+    keepalive: int
+
+
+def address(text: object, what: str) -> Address:
+    """`host:port` in its two parts."""
+    host, colon, port = str(text).rpartition(":")
+    if not (colon and host and port.isascii() and port.isdigit() and 0 < int(port) < 65536):
+        raise ConfigError(f"{what} is {text!r}: wanted host:port")
+    return host, int(port)
+
+
+def load(environ: Mapping[str, str]) -> Config:
+    """Read what `EDGE_CONFIG` names; the other variables go before the file where both speak."""
+    path = environ.get("EDGE_CONFIG", "")
+    if not path:
+        raise ConfigError("EDGE_CONFIG is not set")
+    try:
+        with open(path, encoding="utf-8") as file:
+            told = json.load(file)
+    except OSError as error:
+        raise ConfigError(f"EDGE_CONFIG: {path}: {error.strerror}") from None
+    except ValueError as error:
+        raise ConfigError(f"EDGE_CONFIG: {path}: no JSON: {error}") from None
+    if not isinstance(told, dict):
+        raise ConfigError(f"EDGE_CONFIG: {path}: wanted an object")
+    for key, variable in (("name", "EDGE_NAME"), ("listen", "EDGE_LISTEN"), ("discovery", "EDGE_DISCOVERY")):
+        if environ.get(variable):
+            told[key] = environ[variable]
+    try:
+        return parse(told)
+    except ConfigError:
+        raise
+    except (ValueError, TypeError, KeyError, OverflowError) as error:
+        raise ConfigError(f"EDGE_CONFIG: {path}: {error}") from None
+
+
+def parse(told: Mapping[str, Any]) -> Config:
+    """The configuration from its JSON object."""
+    nested = told.get("settings")
+    if not isinstance(nested, dict):
+        raise ConfigError("settings are missing")
+    values = dict(flatten(nested))
+    settings, _ = wire.read_settings(values)
+    reader = wire.Reader(values)
+    counter = told.get("counter")
+    if settings.counter and not counter:
+        raise ConfigError("counter is missing, though the settings tell of one")
+    limits = told.get("limits") or {}
+    try:
+        seed = int(str(told.get("seed") or "0"), 16)
+    except ValueError:
+        raise ConfigError(f"seed is {told.get('seed')!r}: wanted hex digits") from None
+    return Config(
+        name=str(told.get("name") or f"gateway {settings.rank}"),
+        listen=address(told.get("listen"), "listen"),
+        discovery=address(told.get("discovery"), "discovery"),
+        counter=address(counter, "counter") if counter else None,
+        seed=seed,
+        sockets=int(limits.get("sockets") or 1024),
+        known=told.get("known"),
+        settings=settings,
+        classes=_names(reader, "profiles", len(settings.classes)),
+        plans=_names(reader, "packages", len(settings.plans)),
+        zones=_list(nested.get("zones")),
+        kinds=_list(nested.get("kinds")),
+        connect_timeout=reader.whole("permissions.connect_timeout_us", "250000"),
+        keepalive=reader.whole("permissions.keepalive_us", "30000000"),
+    )
+
+
+def flatten(value: object, path: str = "") -> Iterable[tuple[str, str]]:
+    """Nested JSON as the paths and texts of the simulator's settings."""
+    if isinstance(value, dict):
+        for key, inner in value.items():
+            yield from flatten(inner, f"{path}.{key}" if path else str(key))
+    elif isinstance(value, list) and value and all(isinstance(inner, dict) for inner in value):
+        yield f"{path}.count", str(len(value))
+        for n, inner in enumerate(value):
+            yield from flatten(inner, f"{path}.{n}")
+    elif isinstance(value, list):
+        yield path, ",".join(_text(inner) for inner in value)
+    else:
+        yield path, _text(value)
+
+
+def _text(value: object) -> str:
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    return "" if value is None else str(value)
+
+
+def _names(reader: wire.Reader, path: str, count: int) -> tuple[str, ...]:
+    return tuple(reader.text(f"{path}.{n}.name") for n in range(count))
+
+
+def _list(value: object) -> tuple[str, ...]:
+    return tuple(str(v) for v in (value if isinstance(value, list) else str(value or "").split(",")) if v)
--- /dev/null
+++ b/irisdeal/counter.py
@@ -0,0 +1,189 @@
+"""The pipelined line client of the counter: each call gets exactly one `CountAnswer`."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import math
+import zlib
+from collections import deque
+from collections.abc import Callable
+from typing import cast
+
+from cresspulley.interface import Count, CountAnswer, Result
+from irisdeal.config import Address
+
+log = logging.getLogger("irisdeal.counter")
+
+CONNECTIONS = 4  # one name keeps to one of them, so that its answers keep their order
+MOST_UNANSWERED = 16  # on one connection: a silent counter must not find a pile when it is back
+DEAD_AFTER = 10  # time-outs without an answer that is owed: the connection is given up
+PING_EVERY = 2.0  # s: the counter closes a connection that stands idle
+RECONNECT_PAUSE = 0.1  # s
+MOST_LINE = 256
+
+
+class Call:
+    """A call, or a ping (name -1), from its start to its answer; `over` once its caller was answered."""
+
+    __slots__ = ("at", "line", "name", "over", "written")
+
+    def __init__(self, name: int, line: bytes, at: float) -> None:
+        self.name, self.line, self.at = name, line, at
+        self.over, self.written = name < 0, False
+
+
+class Line(asyncio.Protocol):
+    """One connection, opened at need. Its calls are answered in order, by the counter or by time."""
+
+    def __init__(self, counter: Counter) -> None:
+        self.counter, self.loop = counter, counter.loop
+        self.transport: asyncio.Transport | None = None
+        self.connecting: asyncio.Task[None] | None = None
+        self.calls: deque[Call] = deque()  # unanswered, oldest first
+        self.rest = b""
+        self.not_before = 0.0
+        self.timer: asyncio.TimerHandle | None = None
+        self.last_heard = self.last_used = 0.0
+
+    def call(self, call: Call) -> None:
+        if len(self.calls) >= MOST_UNANSWERED or (self.transport is None and call.at < self.not_before):
+            return self._answer(call, Result.NOT_CONNECTED)  # never written: nothing added
+        if not self.calls:
+            self.last_heard = call.at  # owed from now on
+        self.calls.append(call)
+        self.last_used = call.at
+        if self.transport is not None:
+            self._write(call)
+        elif self.connecting is None:
+            self.connecting = self.loop.create_task(self._connect())
+        if self.timer is None:
+            self.timer = self.loop.call_later(self.counter.timeout, self._time_out)
+
+    def _write(self, call: Call) -> None:
+        assert self.transport is not None
+        call.written = True
+        self.transport.write(call.line)
+
+    def _answer(self, call: Call, result: Result, total: float = 0.0) -> None:
+        if not call.over:
+            call.over = True
+            took = int((self.loop.time() - call.at) * 1e6)
+            self.counter.on_answer(CountAnswer(call.name, result, total, took))
+
+    async def _connect(self) -> None:
+        try:
+            async with asyncio.timeout(max(0.25, self.counter.timeout)):
+                await self.loop.create_connection(lambda: self, *self.counter.address)
+        except (OSError, TimeoutError) as error:
+            log.warning("counter cannot be reached: %s", error or "timed out")
+            self._give_up()
+        finally:
+            self.connecting = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        transport = cast(asyncio.Transport, transport)  # uvloop's is none by its type
+        self.transport, self.rest = transport, b""
+        self.last_heard = self.loop.time()
+        self.calls = deque(c for c in self.calls if not c.over)  # not written in time: not sent at all
+        for call in self.calls:
+            self._write(call)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        log.warning("counter's connection ended: %s", exc or "closed")
+        self._give_up()
+
+    def _give_up(self) -> None:
+        """Whatever is unanswered ends here: written calls may have been added, others were not."""
+        transport, self.transport = self.transport, None
+        self.not_before = self.loop.time() + RECONNECT_PAUSE
+        calls, self.calls = self.calls, deque()
+        for call in calls:
+            self._answer(call, Result.TIMED_OUT if call.written else Result.NOT_CONNECTED)
+        if transport is not None:
+            transport.abort()
+
+    def _time_out(self) -> None:
+        """End overdue calls; their late answers are still matched, or the connection is dropped."""
+        now, limit = self.loop.time(), self.counter.timeout
+        self.timer = None
+        for call in self.calls:
+            if not call.over:
+                if call.at + limit > now + 0.0005:
+                    self.timer = self.loop.call_later(call.at + limit - now, self._time_out)
+                    break
+                self._answer(call, Result.TIMED_OUT if call.written else Result.NOT_CONNECTED)
+        if self.calls and self.transport is not None and self._is_dead(now):
+            log.warning("counter is silent")
+            self._give_up()
+
+    def _is_dead(self, now: float) -> bool:
+        return now - self.last_heard > DEAD_AFTER * self.counter.timeout
+
+    def data_received(self, data: bytes) -> None:
+        self.last_heard = self.loop.time()
+        *lines, self.rest = (self.rest + data).split(b"\n")
+        for line in lines:
+            if not self.calls:
+                return self._odd(line)
+            call = self.calls.popleft()
+            words = line.split()
+            if words == [b"pong"] and call.name < 0:
+                continue
+            if call.name < 0:
+                return self._odd(line)
+            if words[:1] == [b"ok"] and len(words) == 2:
+                try:
+                    total = float(words[1])
+                except ValueError:
+                    total = math.nan
+                if math.isfinite(total):
+                    self._answer(call, Result.OK, total)
+                    continue
+            if words == [b"busy"] or words[:1] == [b"error"]:
+                if words != [b"busy"]:
+                    log.warning("counter: %s to %s", line, call.line)
+                self._answer(call, Result.TURNED_AWAY)
+                continue
+            self._answer(call, Result.TIMED_OUT)  # it may have been added
+            return self._odd(line)
+        if len(self.rest) > MOST_LINE:
+            self._odd(self.rest)
+
+    def _odd(self, line: bytes) -> None:
+        """Answers no longer match their calls."""
+        log.warning("odd line from the counter: %r", line[:80])
+        self._give_up()
+
+    def ping(self) -> None:
+        now = self.loop.time()
+        if self.transport is None:
+            return
+        if self.calls and self._is_dead(now):
+            log.warning("counter is silent")
+            self._give_up()
+        elif not self.calls and now - self.last_used > PING_EVERY:
+            self.call(Call(-1, b"ping\r\n", now))
+
+
+class Counter:
+    """Deals calls out to a few lines, by name."""
+
+    def __init__(
+        self, address: Address, timeout: int, on_answer: Callable[[CountAnswer], None],
+        loop: asyncio.AbstractEventLoop,
+    ) -> None:
+        self.address, self.timeout, self.on_answer, self.loop = address, timeout / 1e6, on_answer, loop
+        self.lines = [Line(self) for _ in range(CONNECTIONS)]
+        loop.call_later(PING_EVERY / 2, self._ping)
+
+    def count(self, action: Count) -> None:
+        name = b"%x" % action.name
+        life = max(1, math.ceil(action.lifetime / 1000))
+        line = b"tally %s %s %d\r\n" % (name, f"{action.amount:.9g}".encode(), life)
+        self.lines[zlib.crc32(name) % CONNECTIONS].call(Call(action.name, line, self.loop.time()))
+
+    def _ping(self) -> None:
+        self.loop.call_later(PING_EVERY / 2, self._ping)
+        for line in self.lines:
+            line.ping()
--- /dev/null
+++ b/irisdeal/door.py
@@ -0,0 +1,262 @@
+"""The loop round the decision module: events in, actions out, and the books of what is open."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable, Iterator
+from typing import Any
+
+from cresspulley.interface import (
+    Action, Arrival, AttemptEnded, Cancel, CloseIdle, Count, CountAnswer, Decider, Event, Fail, FetchList,
+    FollowList, ListKind, Note, Refuse, RequestEnded, Result, Send, ServerList, Wake, Woken)
+from irisdeal.backends import Answer, Attempt, Pool
+from irisdeal.clients import ClientRequest, retry_after
+from irisdeal.config import Address, Config
+from irisdeal.counter import Counter
+
+log = logging.getLogger("irisdeal.door")
+
+
+class Clock:
+    """Whole microseconds that never go back and agreed with Unix time at the start."""
+
+    def __init__(self) -> None:
+        self.offset = time.time_ns() - time.monotonic_ns()
+
+    def now(self) -> int:
+        return (time.monotonic_ns() + self.offset) // 1000
+
+
+class Batch(list[Event]):
+    """Events that tell how far a reader got, so that one that fails does not take the others along."""
+
+    read = 0
+
+    def __iter__(self) -> Iterator[Event]:
+        for n in range(len(self)):
+            self.read = n + 1
+            yield self[n]
+
+
+class Open:
+    """A request in the books: until it is answered and none of its attempts is out."""
+
+    __slots__ = ("attempts", "client", "final", "gives_up", "guard", "out")
+
+    def __init__(self, client: ClientRequest, gives_up: int) -> None:
+        self.client, self.gives_up = client, gives_up
+        self.attempts: list[Attempt] = []
+        self.out = 0
+        self.final = False
+        self.guard: asyncio.TimerHandle | None = None
+
+
+class Door:
+    """Transport for one `Decider`."""
+
+    def __init__(self, config: Config, decider: Decider, pool: Pool, loop: asyncio.AbstractEventLoop) -> None:
+        self.config, self.decider, self.pool, self.loop = config, decider, pool, loop
+        self.settings = config.settings
+        self.clock = Clock()
+        self.counter: Counter | None = None
+        if config.counter is not None:
+            self.counter = Counter(config.counter, self.settings.counter_timeout, self.post, loop)
+        self.requests: dict[int, Open] = {}
+        self.unanswered = 0
+        self.last_number = 0
+        self.places: dict[bytes, Address] = {}
+        self.events = Batch()
+        self.scheduled = self.list_known = False
+        self.drain_by = 0  # when all must be answered; 0 while in service
+        self.on_quiet: Callable[[], None] = lambda: None
+        self.on_refetch: Callable[[], None] = lambda: None
+        self.actions: dict[type, Callable[[Any], None]] = {
+            Send: self._send, Cancel: self._cancel, Refuse: self._refuse, Fail: self._fail,
+            Count: self._count, Wake: self._wake, CloseIdle: self._close_idle,
+            FetchList: lambda _: self.on_refetch(), FollowList: lambda _: None,  # the watch always runs
+            Note: lambda note: log.info("%s", note.text)}
+
+    # Events in
+
+    def post(self, event: Event) -> None:
+        """Queue an event for the next turn."""
+        self.events.append(event)
+        if not self.scheduled:
+            self.scheduled = True
+            self.loop.call_soon(self._turn)
+
+    def _turn(self) -> None:
+        events, self.events = self.events, Batch()
+        self.scheduled = False
+        try:
+            actions = self.decider.handle(self.clock.now(), events)
+        except Exception:
+            log.exception("a decision failed")
+            actions = self._rescue(events)
+        for action in actions:
+            try:
+                self._apply(action)
+            except Exception:  # guards the others: one action's failure is its own
+                log.exception("%r failed", action)
+
+    def _rescue(self, events: Batch) -> list[Action]:
+        """One event failed: its request fails, what was decided before it stands, the rest goes on."""
+        self.events[:0] = events[events.read:]
+        if events.read and (number := getattr(events[events.read - 1], "request", None)) is not None:
+            self._fail(Fail(number))
+        self.post(Woken(0))
+        return list(getattr(self.decider, "actions", ()))
+
+    def take(self, client: ClientRequest) -> None:
+        """A well-formed request of a client."""
+        now = self.clock.now()
+        left = client.time_left
+        if self.drain_by:
+            left = max(1, min(left, self.drain_by - now))
+        self.last_number += 1
+        client.number = number = self.last_number
+        request = self.requests[number] = Open(client, now + left)
+        self.unanswered += 1
+        request.guard = self._after(left + self.settings.answer_grace, self._overdue, number)
+        self.post(Arrival(
+            number, client.customer, client.plan, client.kind, left, client.units, client.first,
+            client.gateways, client.is_retry, client.is_write))
+
+    def gone(self, client: ClientRequest) -> None:
+        """The client left; attempts that are out go on and still count as out."""
+        self._leave(client.number)
+
+    def can_serve(self) -> bool:
+        return self.list_known
+
+    def listed(self, told: ServerList, places: dict[bytes, Address]) -> None:
+        """News of the list."""
+        if told.kind is not ListKind.REMEMBERED or told.entries:
+            self.list_known = True
+        old = self.places
+        whole = told.kind is not ListKind.CHANGES
+        self.places = dict(places) if whole else {**old, **places}
+        for entry in told.entries:
+            if entry.server not in places:
+                self.places.pop(entry.server, None)
+        for server, place in old.items():
+            if self.places.get(server) != place:  # moved or gone: its connections are of no more use
+                self.pool.close_idle(place)
+        self.post(told)
+
+    def _overdue(self, number: int) -> None:
+        """The module has let a request's time pass: it is still owed an answer."""
+        request = self.requests.get(number)
+        if request is not None and not request.final:
+            log.error("request %d was left unanswered", number)
+            self._leave(number, lambda client: client.reply(500, b"failed\n"))
+
+    def _leave(self, number: int, answer: Callable[[ClientRequest], None] = lambda _: None) -> None:
+        """Its end is not the module's doing, so the module hears of it."""
+        request = self.requests.get(number)
+        if request is not None and not request.final:
+            answer(request.client)
+            self._final(number, request)
+            self.post(RequestEnded(number))
+
+    def _final(self, number: int, request: Open) -> None:
+        request.final = True
+        if request.guard is not None:
+            request.guard.cancel()
+        if not request.out:
+            self.requests.pop(number, None)
+        self.unanswered -= 1
+        if not self.unanswered:
+            self.on_quiet()
+
+    def drain(self, by: int) -> None:
+        """Answer all that is open, and all that still comes, until then."""
+        self.drain_by = by
+        self._after(by - self.clock.now(), self._end_all)
+
+    def _end_all(self) -> None:
+        for number in list(self.requests):
+            self._leave(number, lambda client: client.reply(500, b"shutting down\n"))
+
+    def _after(self, delay: int, call: Callable[..., None], *args: object) -> asyncio.TimerHandle:
+        """A timer that is never early by its rounding: the loop's timers count whole milliseconds."""
+        return self.loop.call_later(-(-max(0, delay) // 1000) / 1000, call, *args)
+
+    # Actions out
+
+    def _apply(self, action: Action) -> None:
+        apply = self.actions.get(type(action))
+        if apply is None:  # probes and messages: neither is to be had here
+            log.warning("%s is not to be had here", type(action).__name__)
+        else:
+            apply(action)
+
+    def _send(self, action: Send) -> None:
+        request = self.requests.get(action.request)
+        if request is None:
+            return log.error("an attempt for request %d, which is not open", action.request)
+        now = self.clock.now()
+        attempt = Attempt(action.request, len(request.attempts), action.server, now, self._ended)
+        request.attempts.append(attempt)
+        request.out += 1
+        place = self.places.get(action.server)
+        left = request.gives_up - now
+        if action.timeout > 0:
+            left = min(left, action.timeout)
+        if request.final or place is None or left <= 0 or attempt.number >= self.settings.max_attempts:
+            return attempt.finish(Result.NOT_SENT)
+        client = request.client
+        attempt.address = place
+        length = b"Content-Length: %d\r\n" % len(client.body) if client.is_write else b""
+        attempt.payload = b"".join((
+            client.head, length, b"X-Expires-In: %dm\r\n\r\n" % max(1, left // 1000), client.body))
+        attempt.timer = self._after(left, attempt.time_out)
+        self.pool.send(attempt)
+
+    def _ended(self, attempt: Attempt, result: Result, answer: Answer | None) -> None:
+        """An attempt's one end. The first good answer goes to the client and is final."""
+        number = attempt.request
+        request = self.requests[number]
+        request.out -= 1
+        if result is Result.OK and answer is not None and not request.final:
+            kind = answer.content_type
+            request.client.reply(200, answer.body, b"Content-Type: " + kind + b"\r\n" if kind else b"")
+            self._final(number, request)
+        elif request.final and not request.out:
+            self.requests.pop(number, None)
+        self.post(AttemptEnded(
+            number, attempt.number, attempt.server, result, self.clock.now() - attempt.sent, request.final,
+            answer.usage if answer else None, None, answer.load if answer else None))
+
+    def _cancel(self, action: Cancel) -> None:
+        request = self.requests.get(action.request)
+        if request is not None and 0 <= action.attempt < len(request.attempts):
+            request.attempts[action.attempt].finish(Result.CANCELLED)
+
+    def _refuse(self, action: Refuse) -> None:
+        request = self.requests.get(action.request)
+        if request is not None and not request.final:
+            delay = min(action.retry_after, self.settings.longest_advice) if self.settings.may_advise else 0
+            status = 503 if request.attempts else 429
+            request.client.reply(status, b"refused: try again\n", retry_after(delay))
+            self._final(action.request, request)
+
+    def _fail(self, action: Fail) -> None:
+        request = self.requests.get(action.request)
+        if request is not None and not request.final:
+            request.client.reply(502, b"failed\n")
+            self._final(action.request, request)
+
+    def _count(self, action: Count) -> None:
+        if self.counter is None:
+            return self.post(CountAnswer(action.name, Result.NOT_CONNECTED, 0.0, 0))
+        self.counter.count(action)
+
+    def _wake(self, action: Wake) -> None:
+        self._after(action.delay, self.post, Woken(action.token))
+
+    def _close_idle(self, action: CloseIdle) -> None:
+        if place := self.places.get(action.server):
+            self.pool.close_idle(place)
--- /dev/null
+++ b/tests/test_serving.py
@@ -0,0 +1,46 @@
+"""A request's way through the front door, on sockets."""
+
+import asyncio
+
+from tests.peers import Peer, answer, as_json, ask, member, read_message, running, socket_test, whole_list
+
+
+@socket_test
+async def test_a_request_goes_through_unchanged_and_its_answer_back() -> None:
+    async with Peer() as backend, running(known=whole_list(member("s-1", backend.port))) as door:
+        client, to_door = await door.client()
+        to_door.write(ask("file", Content_Length="5") + b"claim")
+        reader, writer = await backend.connection()
+        line, headers, body = await read_message(reader)
+        assert line == "POST /api?q=1 HTTP/1.1"
+        assert (headers["x-trace-id"], headers["idempotency-key"], body) == ("ab12", "k1", b"claim")
+        assert 0 < int(headers["x-expires-in"].removesuffix("m")) < 9000
+        writer.write(answer(200, b"filed"))
+        line, _, body = await read_message(client)
+        assert (line, body) == ("HTTP/1.1 200 OK", b"filed")
+
+
+@socket_test
+async def test_health_waits_for_a_list() -> None:
+    async with Peer() as discovery, running(discovery=f"127.0.0.1:{discovery.port}") as door:
+        health = b"GET /_health HTTP/1.1\r\nHost: svc\r\n\r\n"
+        assert (await door.call(health))[0].startswith("HTTP/1.1 503")
+        reader, writer = await discovery.connection()
+        assert (await read_message(reader))[0] == "GET /catalog/members HTTP/1.1"
+        writer.write(answer(200, as_json(whole_list(member("s-1", 9), revision=41))))
+        assert (await read_message(reader))[0].startswith("GET /catalog/members?index=41&wait=")
+        assert (await door.call(health))[0].startswith("HTTP/1.1 200")
+
+
+@socket_test
+async def test_a_client_that_leaves_frees_its_request() -> None:
+    async with Peer() as backend, running(known=whole_list(member("s-1", backend.port))) as door:
+        _, to_door = await door.client()
+        to_door.write(ask())
+        reader, writer = await backend.connection()
+        await read_message(reader)
+        to_door.transport.abort()
+        writer.write(answer())
+        while door.program.door.requests:
+            await asyncio.sleep(0)
+        assert door.program.door.unanswered == 0
