Guards at every edge, each with a test over loopback sockets

What was decided stands now, the rest is handed in again, the one request fails, and the module is told that it ended. - clients.py: a rejected body left bytes unread, so the close could reset the 4xx on its way; it lingers now. HTTP/1.1 without Host is a 400. - discovery.py: a status other than 200 on the watch was asked again with the same version for ever; an oddity leads to the whole list now. A watch that answers at once with nothing no longer spins. - counter.py: one line for a failing counter, where it was 40 a second. Tests: malformed input, the table of outcomes, losers, time-outs, cancels, stale connections, the counter's silence and breaks, the list, SIGTERM, configuration. Ruled out by them: double answers, sends behind the module.

--- a/cresspulley/interface.py
+++ b/cresspulley/interface.py
@@ -347,6 +347,8 @@
 class Decider(Protocol):
     """The shape of `cresspulley.control.Gateway`."""
 
+    actions: list[Action]  # of the last call; what was decided before an event failed stands
+
     def handle(self, now: int, events: list[Event]) -> list[Action]:
         """Take what happened by `now`; return what to do, in order."""
         ...
--- a/irisdeal/clients.py
+++ b/irisdeal/clients.py
@@ -23,6 +23,7 @@
 MARGIN = 10_000  # µs of a client's time that the way here and back, and our own turn, may take
 SLOW_REQUEST = 10.0  # s for a request's bytes to come
 IDLE_CONNECTION = 75.0  # s
+LINGER = 1.0  # s that a client with broken framing may take to read why
 # Headers that speak of one connection, or that are written anew.
 NOT_FORWARDED = frozenset((
     b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
@@ -87,7 +88,7 @@
         self.parser = httptools.HttpRequestParser(self)
         self.transport: asyncio.Transport | None = None
         self.waiting: deque[ClientRequest] = deque()
-        self.in_message = self.closing = self.full = False
+        self.in_message = self.closing = self.full = self.broken = False
         self.since = side.loop.time()  # of the last change between idle and busy
         self._reset()
 
@@ -214,6 +215,8 @@
         plan = side.plans.get(named.get(b"plan", b""))
         if plan is None:
             raise Malformed(400, "unknown plan")
+        if b"host" not in named and self.parser.get_http_version() == "1.1":
+            raise Malformed(400, "no Host")
         method = self.parser.get_method()
         repeat = side.config.settings.classes[kind].repeat
         wanted = b"GET" if repeat is Repeat.SAFE else b"POST"
@@ -265,7 +268,7 @@
             done = self.waiting.popleft()
             self.transport.write(done.answer)
             if done.then_close:
-                return self._close()
+                return self._linger() if self.broken else self._close()
         self.since = self.side.loop.time()
         self._read_on()
 
@@ -274,11 +277,18 @@
         if self.transport is not None:
             self.transport.close()
 
+    def _linger(self) -> None:
+        """Closed with bytes unread, a connection is reset, and the answer on its way is lost."""
+        if self.transport is not None:
+            self.transport.write_eof()
+            self.transport.resume_reading()
+            self.side.loop.call_later(LINGER, self._close)
+
     def _reject(self, fault: Malformed) -> None:
         """The framing is lost: answer in turn, then close."""
         if self.closing:
             return
-        self.closing = self.in_message = True
+        self.closing = self.in_message = self.broken = True
         request = ClientRequest(self)
         request.then_close = True
         self.waiting.append(request)
--- a/irisdeal/counter.py
+++ b/irisdeal/counter.py
@@ -42,6 +42,7 @@
         self.connecting: asyncio.Task[None] | None = None
         self.calls: deque[Call] = deque()  # unanswered, oldest first
         self.rest = b""
+        self.failing = False
         self.not_before = 0.0
         self.timer: asyncio.TimerHandle | None = None
         self.last_heard = self.last_used = 0.0
@@ -76,8 +77,7 @@
             async with asyncio.timeout(max(0.25, self.counter.timeout)):
                 await self.loop.create_connection(lambda: self, *self.counter.address)
         except (OSError, TimeoutError) as error:
-            log.warning("counter cannot be reached: %s", error or "timed out")
-            self._give_up()
+            self._give_up(f"cannot be reached: {error or 'timed out'}")
         finally:
             self.connecting = None
 
@@ -90,11 +90,14 @@
             self._write(call)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        log.warning("counter's connection ended: %s", exc or "closed")
-        self._give_up()
+        if self.transport is not None:
+            self._give_up(f"connection ended: {exc or 'closed'}")
 
-    def _give_up(self) -> None:
+    def _give_up(self, why: str) -> None:
         """Whatever is unanswered ends here: written calls may have been added, others were not."""
+        if not self.failing:  # once, not on each attempt to be back
+            self.failing = True
+            log.warning("counter: %s", why)
         transport, self.transport = self.transport, None
         self.not_before = self.loop.time() + RECONNECT_PAUSE
         calls, self.calls = self.calls, deque()
@@ -114,14 +117,16 @@
                     break
                 self._answer(call, Result.TIMED_OUT if call.written else Result.NOT_CONNECTED)
         if self.calls and self.transport is not None and self._is_dead(now):
-            log.warning("counter is silent")
-            self._give_up()
+            self._give_up("silent")
 
     def _is_dead(self, now: float) -> bool:
         return now - self.last_heard > DEAD_AFTER * self.counter.timeout
 
     def data_received(self, data: bytes) -> None:
         self.last_heard = self.loop.time()
+        if self.failing:
+            self.failing = False
+            log.info("counter answers again")
         *lines, self.rest = (self.rest + data).split(b"\n")
         for line in lines:
             if not self.calls:
@@ -152,16 +157,14 @@
 
     def _odd(self, line: bytes) -> None:
         """Answers no longer match their calls."""
-        log.warning("odd line from the counter: %r", line[:80])
-        self._give_up()
+        self._give_up(f"odd line {line[:80]!r}")
 
     def ping(self) -> None:
         now = self.loop.time()
         if self.transport is None:
             return
         if self.calls and self._is_dead(now):
-            log.warning("counter is silent")
-            self._give_up()
+            self._give_up("silent")
         elif not self.calls and now - self.last_used > PING_EVERY:
             self.call(Call(-1, b"ping\r\n", now))
 
--- a/irisdeal/discovery.py
+++ b/irisdeal/discovery.py
@@ -170,6 +170,8 @@
                 pause = PAUSE
             except (OSError, TimeoutError, ValueError) as error:
                 log.warning("discovery: %s", error or "timed out")
+                if isinstance(error, ValueError):
+                    self.version = -1  # what was told, or whether our version is known: start from the whole
                 if self.call is not None:
                     self.call.close()
                 self.call = None
@@ -184,19 +186,18 @@
         """One call: asked again at once after the last, or what changes between counts as told unheard."""
         whole = self.version < 0
         path = b"/catalog/members" + (b"" if whole else b"?index=%d&wait=%d" % (self.version, WAIT))
+        asked = asyncio.get_running_loop().time()
         async with asyncio.timeout(PATIENCE + (0 if whole else WAIT / 1000)):
             if self.call is None or not self.call.usable():
                 self.call = call = Call(self.place)
                 await asyncio.get_running_loop().create_connection(lambda: call, *self.place)
             text = await self.call.get(path)
-        try:
-            told, places = self.reader.read(json.loads(text))
-        except ValueError:
-            self.version = -1  # what was told is not known: start from the whole
-            raise
+        told, places = self.reader.read(json.loads(text))
         if told.kind is ListKind.CHANGES and (whole or told.version < self.version):
-            self.version = -1
             raise ValueError("changes to a list that is not held")
-        self.version = told.version
-        if told.entries or told.kind is ListKind.COMPLETE:
+        news = bool(told.entries) or told.kind is ListKind.COMPLETE
+        if news:
             self.found(told, places)
+        elif asyncio.get_running_loop().time() < asked + PAUSE:
+            await asyncio.sleep(PAUSE)  # one that answers each watch at once must not take the core
+        self.version = told.version
--- a/irisdeal/door.py
+++ b/irisdeal/door.py
@@ -18,6 +18,8 @@
 
 log = logging.getLogger("irisdeal.door")
 
+RESCUE_PAUSE = 10_000  # µs after a failed decision: one that fails each time must not spin
+
 
 class Clock:
     """Whole microseconds that never go back and agreed with Unix time at the start."""
@@ -103,11 +105,12 @@
 
     def _rescue(self, events: Batch) -> list[Action]:
         """One event failed: its request fails, what was decided before it stands, the rest goes on."""
-        self.events[:0] = events[events.read:]
         if events.read and (number := getattr(events[events.read - 1], "request", None)) is not None:
-            self._fail(Fail(number))
-        self.post(Woken(0))
-        return list(getattr(self.decider, "actions", ()))
+            self._leave(number, lambda client: client.reply(500, b"failed\n"))
+        for event in events[events.read:]:
+            self.post(event)
+        self._after(RESCUE_PAUSE, self.post, Woken(0))  # what was due may have been left undone
+        return list(self.decider.actions)
 
     def take(self, client: ClientRequest) -> None:
         """A well-formed request of a client."""
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -6,15 +6,16 @@
 import json
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
-from typing import Any
+from typing import Any, TypeVar, cast
 
 import uvloop
 
 from cresspulley.control import Gateway
-from cresspulley.interface import Decider
+from cresspulley.interface import Action, Arrival, AttemptEnded, Decider, Event, Fail, Send
 from irisdeal.__main__ import Program
 from irisdeal.config import Config, parse
 
+E = TypeVar("E")
 Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 LIMIT = 20.0  # s for a whole test: only a test that hangs meets it
 
@@ -168,3 +169,38 @@
 
 def as_json(value: object) -> bytes:
     return json.dumps(value).encode()
+
+
+class Script:
+    """A decider that does as the test says: `reply` turns each event into actions."""
+
+    def __init__(self, reply: Callable[[Event], list[Action]]) -> None:
+        self.reply, self.seen, self.actions = reply, list[Event](), list[Action]()
+        self.changed = asyncio.Event()
+
+    def handle(self, now: int, events: list[Event]) -> list[Action]:
+        self.actions = []
+        for event in events:
+            self.actions += self._one(event)
+        self.changed.set()
+        return self.actions
+
+    def _one(self, event: Event) -> list[Action]:
+        self.seen.append(event)
+        return self.reply(event)
+
+    async def wait_for(self, kind: type[E], count: int = 1) -> list[E]:
+        """Once so many events of this kind have come: all of them."""
+        while len(found := list(filter(lambda event: isinstance(event, kind), self.seen))) < count:
+            self.changed.clear()
+            await self.changed.wait()
+        return cast(list[E], found)
+
+
+def send_all(event: Event, server: bytes = b"s-1") -> list[Action]:
+    """Each request gets one attempt; whatever ends badly fails."""
+    if isinstance(event, Arrival):
+        return [Send(event.request, server)]
+    if isinstance(event, AttemptEnded) and not event.ended:
+        return [Fail(event.request)]
+    return []
--- /dev/null
+++ b/tests/test_backends.py
@@ -0,0 +1,191 @@
+"""Each attempt ends in exactly one outcome of the protocol's table."""
+
+import asyncio
+
+import pytest
+import uvloop
+
+from cresspulley.interface import (
+    Action, Arrival, AttemptEnded, Cancel, Event, LoadReport, RequestEnded, Result, Send)
+from tests.peers import (
+    Peer, Script, answer, ask, member, read_message, running, send_all, socket_test, whole_list)
+
+CLOSE = b""  # the connection ends
+
+
+@pytest.mark.parametrize(("written", "result", "status"), [
+    (answer(200, b"yes"), Result.OK, "200"),
+    (answer(500), Result.ERROR, "502"),
+    (answer(404), Result.ERROR, "502"),
+    (answer(503, extra="X-Never-Ran: 1\r\n"), Result.TURNED_AWAY, "502"),
+    (answer(504, extra="X-Never-Ran: 1\r\n"), Result.TURNED_AWAY, "502"),
+    (answer(503), Result.ERROR, "502"),
+    (answer(503, extra="X-Never-Ran: 0\r\n"), Result.ERROR, "502"),
+    (answer(500, extra="X-Never-Ran: 1\r\n"), Result.ERROR, "502"),
+    (CLOSE, Result.CONNECTION_LOST, "502"),
+    (answer(200, b"yes")[:-1] + CLOSE, Result.CONNECTION_LOST, "502"),
+    (b"HTTP/1.1 200 X\r\nContent-Length: 99999\r\n\r\n" + b"x" * 99_999, Result.CONNECTION_LOST, "502"),
+    (b"nonsense\r\n\r\n", Result.CONNECTION_LOST, "502"),
+    (b"HTTP/1.1 200 X\r\nA: " + b"x" * 20_000 + b"\r\n\r\n", Result.CONNECTION_LOST, "502"),
+    (b"HTTP/1.1 102 X\r\n\r\n" + answer(200, b"yes"), Result.OK, "200"),
+    (answer(extra="Endpoint-Load-Metrics: TEXT depth=x, , =3\r\nUsage-Percent: many\r\n"), Result.OK, "200"),
+])
+def test_outcomes(written: bytes, result: Result, status: str) -> None:
+    async def run() -> None:
+        script = Script(send_all)
+        async with Peer() as backend, running(script, known=whole_list(member("s-1", backend.port))) as door:
+            client, to_door = await door.client()
+            to_door.write(ask())
+            reader, writer = await backend.connection()
+            await read_message(reader)
+            writer.write(written)
+            if not written.endswith(b"yes") and result is Result.CONNECTION_LOST:
+                writer.close()
+            assert (await read_message(client))[0].split()[1] == status
+            [ended] = await script.wait_for(AttemptEnded)
+            assert (ended.attempt, ended.server, ended.result) == (0, b"s-1", result)
+            assert ended.ended is (result is Result.OK)
+            assert backend.accepted.empty()  # nothing is sent again behind the module's back
+
+    async def limited() -> None:
+        async with asyncio.timeout(20):
+            await run()
+
+    uvloop.run(limited())
+
+
+@socket_test
+async def test_a_refused_connection_never_ran() -> None:
+    async with Peer() as backend:
+        port = backend.port
+    script = Script(send_all)  # nobody listens any more
+    async with running(script, known=whole_list(member("s-1", port))) as door:
+        assert (await door.call(ask()))[0].split()[1] == "502"
+        assert [e.result for e in await script.wait_for(AttemptEnded)] == [Result.NOT_CONNECTED]
+
+
+@socket_test
+async def test_a_backend_never_named_gets_nothing() -> None:
+    script = Script(lambda event: send_all(event, b"s-2"))
+    async with running(script, known=whole_list(member("s-1", 9))) as door:
+        assert (await door.call(ask()))[0].split()[1] == "502"
+        assert [e.result for e in await script.wait_for(AttemptEnded)] == [Result.NOT_SENT]
+
+
+@socket_test
+async def test_load_and_usage_reach_the_module() -> None:
+    script = Script(send_all)
+    async with Peer() as backend, running(script, known=whole_list(member("s-1", backend.port))) as door:
+        _, to_door = await door.client()
+        to_door.write(ask())
+        reader, writer = await backend.connection()
+        await read_message(reader)
+        writer.write(answer(extra="Endpoint-Load-Metrics: TEXT mean_ms=8.5, load_share=0.25, depth=3\r\n"
+                                  "Usage-Percent: 140\r\n"))
+        [ended] = await script.wait_for(AttemptEnded)
+        assert (ended.usage, ended.load) == (140, LoadReport(waiting=3.0, busy=0.25, service_ms=8.5))
+
+
+@socket_test
+async def test_the_attempts_time_out_ends_it_and_closes_its_connection() -> None:
+    def short(event: Event) -> list[Action]:
+        return [Send(event.request, b"s-1", 1_000_000)] if isinstance(event, Arrival) else send_all(event)
+
+    script = Script(short)
+    async with Peer() as backend, running(script, known=whole_list(member("s-1", backend.port))) as door:
+        client, to_door = await door.client()
+        to_door.write(ask())
+        reader, _ = await backend.connection()
+        await read_message(reader)
+        assert (await read_message(client))[0].split()[1] == "502"
+        [ended] = await script.wait_for(AttemptEnded)
+        assert ended.result is Result.TIMED_OUT and not ended.ended
+        with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
+            await reader.readexactly(1)
+
+
+@socket_test
+async def test_an_attempt_never_outlives_its_clients_time() -> None:
+    script = Script(lambda event: [Send(event.request, b"s-1")] if isinstance(event, Arrival) else [])
+    async with Peer() as backend, running(script, known=whole_list(member("s-1", backend.port))) as door:
+        client, to_door = await door.client()
+        to_door.write(ask(X_Expires_In="1000m"))
+        reader, _ = await backend.connection()
+        assert int((await read_message(reader))[1]["x-expires-in"].removesuffix("m")) <= 1000
+        # The module stays silent: the door still owes the client one final answer.
+        assert (await read_message(client))[0].split()[1] == "500"
+        [ended] = await script.wait_for(AttemptEnded)
+        assert ended.result is Result.TIMED_OUT
+        await script.wait_for(RequestEnded)
+
+
+@socket_test
+async def test_the_first_good_answer_is_final_and_the_loser_is_drained() -> None:
+    def twice(event: Event) -> list[Action]:
+        return [Send(event.request, b) for b in (b"s-1", b"s-2")] if isinstance(event, Arrival) else []
+
+    script = Script(twice)
+    async with Peer() as one, Peer() as two, running(
+            script, known=whole_list(member("s-1", one.port), member("s-2", two.port))) as door:
+        client, to_door = await door.client()
+        to_door.write(ask())
+        (first, to_first), (second, to_second) = await one.connection(), await two.connection()
+        await read_message(first)
+        await read_message(second)
+        to_second.write(answer(200, b"second"))
+        assert (await read_message(client))[2] == b"second"
+        to_first.write(answer(200, b"first"))
+        ended = await script.wait_for(AttemptEnded, 2)
+        assert [(e.attempt, e.result, e.ended) for e in ended] == [(1, Result.OK, True), (0, Result.OK, True)]
+        to_door.write(b"GET /_health HTTP/1.1\r\nHost: svc\r\n\r\n")
+        assert (await read_message(client))[2] == b"ready\n"  # the loser's body was never written
+        assert not door.program.door.requests
+
+
+@socket_test
+async def test_a_cancel_closes_the_attempts_connection() -> None:
+    def cancel(event: Event) -> list[Action]:
+        return [Cancel(event.request, 0)] if isinstance(event, RequestEnded) else send_all(event)
+
+    script = Script(cancel)
+    async with Peer() as backend, running(script, known=whole_list(member("s-1", backend.port))) as door:
+        _, to_door = await door.client()
+        to_door.write(ask())
+        reader, _ = await backend.connection()
+        await read_message(reader)
+        to_door.transport.abort()
+        [ended] = await script.wait_for(AttemptEnded)
+        assert (ended.result, ended.ended) == (Result.CANCELLED, True)
+        with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
+            await reader.readexactly(1)
+
+
+@socket_test
+async def test_an_idle_connection_that_the_backend_closed_is_not_used() -> None:
+    script = Script(send_all)
+    async with Peer() as backend, running(script, known=whole_list(member("s-1", backend.port))) as door:
+        client, to_door = await door.client()
+        to_door.write(ask())
+        reader, writer = await backend.connection()
+        await read_message(reader)
+        writer.write(answer())
+        await read_message(client)
+        writer.close()
+        while door.program.pool.all:
+            await asyncio.sleep(0)
+        to_door.write(ask(trace="a2"))
+        reader, writer = await backend.connection()
+        assert (await read_message(reader))[1]["x-trace-id"] == "a2"
+
+
+@socket_test
+async def test_more_attempts_than_connections_end_as_not_connected() -> None:
+    script = Script(lambda event: [Send(event.request, b"s-1")] if isinstance(event, Arrival) else [])
+    async with Peer() as backend, running(script, known=whole_list(member("s-1", backend.port))) as door:
+        door.program.pool.most = 1
+        _, first = await door.client()
+        first.write(ask())
+        await backend.connection()
+        _, second = await door.client()
+        second.write(ask())
+        assert [e.result for e in await script.wait_for(AttemptEnded)] == [Result.NOT_CONNECTED]
--- /dev/null
+++ b/tests/test_clients.py
@@ -0,0 +1,106 @@
+"""Malformed input of clients ends with a plain 4xx at the front door."""
+
+import asyncio
+
+import pytest
+import uvloop
+
+from cresspulley.interface import Arrival, Refuse
+from tests.peers import Script, answer, ask, read_message, running, socket_test
+
+GET = b"GET /api HTTP/1.1\r\nHost: svc\r\n"
+
+
+def post(length: str, body: bytes = b"") -> bytes:
+    return ask("file", Content_Length=length) + body
+
+
+@pytest.mark.parametrize(("request_bytes", "status"), [
+    (GET + b"\r\n", 400),
+    (ask(X_Qos="unheard-of"), 400),
+    (ask(Plan="unheard-of"), 400),
+    (ask(X_Trace_Id=None), 400),
+    (ask(X_Trace_Id="a b"), 400),
+    (ask(Account="b4d65521"), 400),
+    (ask(Account="ffffffffffffffff"), 400),
+    (ask(Account="000000000000000g"), 400),
+    (ask(X_Expires_In="480"), 400),
+    (ask(X_Expires_In="-5m"), 400),
+    (ask(X_Expires_In="0m"), 400),
+    (ask(X_Expires_In="nanm"), 400),
+    (ask(Quota_Info="units=2,spread=1"), 400),
+    (ask(Quota_Info="units=0,spread=1,first=0"), 400),
+    (ask(Quota_Info="units=2,spread=9,first=0"), 400),
+    (ask(Quota_Info="units=2,spread=1,first=1"), 400),
+    (ask(Quota_Info="units=inf,spread=1,first=0"), 400),
+    (ask("file", Idempotency_Key=None), 400),
+    (ask().replace(b"GET", b"POST"), 405),
+    (ask("file").replace(b"POST", b"GET"), 405),
+    (ask().replace(b"Host: svc\r\n", b""), 400),
+    (ask().replace(b"Plan: basic\r\n", b"Plan: basic\r\nPlan: metered\r\n"), 400),
+    (ask(Content_Length="3") + b"abc", 400),
+    (post("70000", b"x" * 70_000), 413),
+    (post("-1"), 400),
+    (post("4x", b"1234"), 400),
+    (ask("file", Content_Length=None, Transfer_Encoding="chunked") + b"zz\r\n", 400),
+    (ask("file", Content_Length="4", Transfer_Encoding="chunked") + b"0\r\n\r\n", 400),
+    (b"hello\r\n\r\n", 400),
+    (GET + b"X-Long: " + b"x" * 20_000 + b"\r\n\r\n", 431),
+    (b"GET /" + b"x" * 20_000 + b" HTTP/1.1\r\nHost: svc\r\n\r\n", 431),
+    (GET + b"A: 1\r\n B\x00: 2\r\n\r\n", 400),
+])
+def test_malformed_input_never_reaches_the_module(request_bytes: bytes, status: int) -> None:
+    async def run() -> None:
+        script = Script(lambda event: [])
+        async with running(script) as door:
+            line, _, _ = await door.call(request_bytes)
+            assert line.split()[1] == str(status)
+            assert not [e for e in script.seen if isinstance(e, Arrival)]
+
+    async def limited() -> None:
+        async with asyncio.timeout(20):
+            await run()
+
+    uvloop.run(limited())
+
+
+@socket_test
+async def test_a_whole_chunked_body_is_taken() -> None:
+    script = Script(lambda event: [Refuse(event.request)] if isinstance(event, Arrival) else [])
+    async with running(script) as door:
+        request = ask("file", Content_Length=None, Transfer_Encoding="chunked")
+        line, _, _ = await door.call(request + b"3\r\nabc\r\n0\r\n\r\n")
+        assert line.split()[1] == "429"
+
+
+@socket_test
+async def test_a_connection_outlives_a_well_framed_mistake() -> None:
+    script = Script(lambda event: [Refuse(event.request, 250_000)] if isinstance(event, Arrival) else [])
+    async with running(script) as door:
+        reader, writer = await door.client()
+        writer.write(ask(Plan="unheard-of") + ask())
+        assert (await read_message(reader))[0].split()[1] == "400"
+        line, headers, _ = await read_message(reader)
+        assert (line.split()[1], headers["retry-after"]) == ("429", "0.250")
+
+
+@socket_test
+async def test_pipelined_answers_keep_their_order_and_each_comes_once() -> None:
+    held: list[int] = []
+
+    def last_first(event: object) -> list[Refuse]:
+        if isinstance(event, Arrival):
+            held.append(event.request)
+        return [Refuse(n, n * 1000) for n in reversed(held)] if len(held) == 3 else []
+
+    async with running(Script(last_first)) as door:  # type: ignore[arg-type]
+        reader, writer = await door.client()
+        writer.write(ask(trace="1") + ask(trace="2") + ask(trace="3"))
+        told = [(await read_message(reader))[1]["retry-after"] for _ in range(3)]
+        assert told == ["0.001", "0.002", "0.003"]
+        writer.write(b"GET /_health HTTP/1.1\r\nHost: svc\r\n\r\n")  # nothing stands between
+        assert (await read_message(reader))[0].split()[1] == "503"
+
+
+def test_the_peers_of_these_tests_write_what_they_mean() -> None:
+    assert answer(204, b"", "A: b\r\n") == b"HTTP/1.1 204 X\r\nContent-Length: 0\r\nA: b\r\n\r\n"
