--- a/irisdeal/backends.py
+++ b/irisdeal/backends.py
@@ -149,7 +149,8 @@
             async with asyncio.timeout(timeout):
                 await self.pool.loop.create_connection(lambda: self, *self.address)
         except (OSError, TimeoutError) as error:
-            self._end(Result.NOT_CONNECTED)
+            # Time may run out in the turn in which it came up and the request was written.
+            self._end(Result.CONNECTION_LOST if self.written else Result.NOT_CONNECTED)
             log.warning("no connection to %s:%d: %s", *self.address, error or "timed out")
 
     def _end(self, result: Result, answer: Answer | None = None) -> None:
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -1,14 +1,16 @@
 """Each attempt ends in exactly one outcome of the protocol's table."""
 
 import asyncio
+from typing import Any, cast
 
 import pytest
 import uvloop
 
 from cresspulley.interface import (
     Action, Arrival, AttemptEnded, Cancel, Event, LoadReport, RequestEnded, Result, Send)
+from irisdeal.backends import Attempt, Pool
 from tests.peers import (
-    Peer, Script, answer, ask, member, read_message, running, send_all, socket_test, whole_list)
+    Peer, Script, answer, ask, config, member, read_message, running, send_all, socket_test, whole_list)
 
 CLOSE = b""  # the connection ends
 
@@ -178,6 +180,31 @@
         assert (await read_message(reader))[1]["x-trace-id"] == "a2"
 
 
+class LateLoop:
+    """The running loop, but each connection comes up just as its time runs out."""
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(asyncio.get_running_loop(), name)
+
+    async def create_connection(self, *args: Any) -> None:
+        await asyncio.get_running_loop().create_connection(*args)
+        raise TimeoutError
+
+
+@socket_test
+async def test_a_connection_in_its_last_moment_may_have_carried_the_request() -> None:
+    ends: list[Result] = []
+    async with Peer() as backend:
+        pool = Pool(config(), 8, cast(asyncio.AbstractEventLoop, LateLoop()))
+        attempt = Attempt(1, 0, b"s-1", 0, lambda attempt, result, answer: ends.append(result))
+        attempt.address, attempt.payload = ("127.0.0.1", backend.port), ask()
+        pool.send(attempt)
+        await backend.connection()
+        while not ends:
+            await asyncio.sleep(0)
+    assert ends == [Result.CONNECTION_LOST]
+
+
 @socket_test
 async def test_more_attempts_than_connections_end_as_not_connected() -> None:
     script = Script(lambda event: [Send(event.request, b"s-1")] if isinstance(event, Arrival) else [])
