--- a/irisdeal/clients.py
+++ b/irisdeal/clients.py
@@ -263,7 +263,7 @@
     # Answers
 
     def reply(self, request: ClientRequest, status: int, body: bytes, extra: bytes) -> None:
-        if request.answer or self.transport is None:
+        if request.answer or self.transport is None or self.transport.is_closing():
             return  # one final answer, and none to a client that has left
         if (self.side.draining or self.side.over_full()) and request is self.waiting[-1]:
             request.then_close = self.closing = True  # behind others it would take their answers along
