Test: a connection that never comes up never ran

A listener whose line is full stands for a vanished machine; without the connect time-out the test fails.

--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -1,6 +1,8 @@
 """Each attempt ends in exactly one outcome of the protocol's table."""
 
 import asyncio
+import socket
+from contextlib import ExitStack
 from typing import Any, cast
 
 import pytest
@@ -66,6 +68,22 @@
         assert [e.result for e in await script.wait_for(AttemptEnded)] == [Result.NOT_CONNECTED]
 
 
+@socket_test
+async def test_a_connection_that_never_comes_up_never_ran() -> None:
+    with socket.socket() as listener, ExitStack() as waiting:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(0)  # nobody accepts: once its line is full, the kernel lets further calls hang
+        for _ in range(4):
+            caller = waiting.enter_context(socket.socket())
+            caller.setblocking(False)
+            caller.connect_ex(listener.getsockname())
+        script = Script(send_all)
+        async with running(script, known=whole_list(member("s-1", listener.getsockname()[1]))) as door:
+            assert (await door.call(ask()))[0].split()[1] == "502"
+            [ended] = await script.wait_for(AttemptEnded)
+            assert ended.result is Result.NOT_CONNECTED and not door.program.pool.all
+
+
 @socket_test
 async def test_a_backend_never_named_gets_nothing() -> None:
     script = Script(lambda event: send_all(event, b"s-2"))
