--- a/irisdeal/__main__.py
+++ b/irisdeal/__main__.py
@@ -58,26 +58,38 @@
         self.over = asyncio.Event()
         self.stopping = False
 
-    async def start(self) -> asyncio.Task[None]:
-        """Listen, and watch the list in the task that is returned."""
+    async def start(self) -> None:
+        """Listen, and watch the list."""
         self.discovery.remember()
         await self.clients.listen()
-        return self.loop.create_task(self.discovery.run())
+        self.discovery.start()
 
     async def run(self) -> None:
         """Serve until SIGTERM, then until all is answered."""
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self.stop)
-        watch = await self.start()
+        self.loop.add_signal_handler(signal.SIGHUP, self.reload)
+        await self.start()
         gc.collect()
         gc.freeze()
         await self.over.wait()
-        watch.cancel()
+        self.discovery.stop()
         # Answers just written leave with their connections, which close once written.
         until = self.loop.time() + 0.15
         while self.clients.connections and self.loop.time() < until:
             await asyncio.sleep(0.005)
 
+    def reload(self) -> None:
+        """Read the configuration again: discovery and the counter may have moved."""
+        try:
+            config = load(os.environ, again=True)
+        except ConfigError as error:
+            return log.error("the old configuration goes on: %s", " ".join(str(error).split()))
+        log.info("configuration read again: discovery %s:%d, counter %s:%d",
+                 *config.discovery, *(config.counter or ("none", 0)))
+        self.discovery.move(config.discovery)
+        self.door.recount(config.counter)
+
     def stop(self) -> None:
         if not self.stopping:
             self.stopping = self.clients.draining = True
@@ -103,6 +115,7 @@
 
 
 def main() -> int:
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # before there is a handler, it would end the process
     logging.basicConfig(stream=sys.stderr, format="%(asctime)s %(levelname)s %(name)s: %(message)s",
                         level=logging.INFO)
     logging.getLogger().handlers[0].addFilter(Sparing())
--- a/irisdeal/config.py
+++ b/irisdeal/config.py
@@ -45,8 +45,11 @@
     return host, int(port)
 
 
-def load(environ: Mapping[str, str]) -> Config:
-    """Read what `EDGE_CONFIG` names; the other variables go before the file where both speak."""
+def load(environ: Mapping[str, str], again: bool = False) -> Config:
+    """Read what `EDGE_CONFIG` names; the other variables go before the file where both speak.
+
+    Read `again`, the file goes before `EDGE_DISCOVERY`, which still names where discovery was at the start.
+    """
     path = environ.get("EDGE_CONFIG", "")
     if not path:
         raise ConfigError("EDGE_CONFIG is not set")
@@ -60,7 +63,7 @@
     if not isinstance(told, dict):
         raise ConfigError(f"EDGE_CONFIG: {path}: wanted an object")
     for key, variable in (("name", "EDGE_NAME"), ("listen", "EDGE_LISTEN"), ("discovery", "EDGE_DISCOVERY")):
-        if environ.get(variable):
+        if environ.get(variable) and not (again and told.get(key) and key == "discovery"):
             told[key] = environ[variable]
     try:
         return parse(told)
--- a/irisdeal/counter.py
+++ b/irisdeal/counter.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import math
+import re
 import zlib
 from collections import deque
 from collections.abc import Callable
@@ -19,8 +20,11 @@
 MOST_UNANSWERED = 16  # on one connection: a silent counter must not find a pile when it is back
 DEAD_AFTER = 10  # time-outs without an answer that is owed: the connection is given up
 PING_EVERY = 2.0  # s: the counter closes a connection that stands idle
-RECONNECT_PAUSE = 0.1  # s
+RECONNECT_PAUSE = 0.1  # s after a connection that brought no answer
+RETIRED = 1.5  # s that a counter which has moved keeps its old connections open
 MOST_LINE = 256
+# float() takes more: 1_0, nan
+TOTAL = re.compile(rb"-?[0-9]{1,20}(?:\.[0-9]{0,20})?(?:[eE][+-]?[0-9]{1,3})?")
 
 
 class Call:
@@ -33,16 +37,24 @@
         self.over, self.written = name < 0, False
 
 
+def read_total(words: list[bytes]) -> float | None:
+    """The total of an `ok` line; None where it holds no finite number."""
+    if len(words) != 2 or words[0] != b"ok" or not TOTAL.fullmatch(words[1]):
+        return None
+    total = float(words[1])
+    return total if math.isfinite(total) else None
+
+
 class Line(asyncio.Protocol):
     """One connection, opened at need. Its calls are answered in order, by the counter or by time."""
 
     def __init__(self, counter: Counter) -> None:
-        self.counter, self.loop = counter, counter.loop
+        self.counter, self.loop, self.address = counter, counter.loop, counter.address
         self.transport: asyncio.Transport | None = None
         self.connecting: asyncio.Task[None] | None = None
         self.calls: deque[Call] = deque()  # unanswered, oldest first
         self.rest = b""
-        self.failing = False
+        self.failing = self.heard = self.retired = False
         self.not_before = 0.0
         self.timer: asyncio.TimerHandle | None = None
         self.last_heard = self.last_used = 0.0
@@ -59,7 +71,8 @@
         elif self.connecting is None:
             self.connecting = self.loop.create_task(self._connect())
         if self.timer is None:
-            self.timer = self.loop.call_later(self.counter.timeout, self._time_out)
+            self.timer = self.loop.call_later(
+                max(0.0, call.at + self.counter.timeout - self.loop.time()), self._time_out)
 
     def _write(self, call: Call) -> None:
         assert self.transport is not None
@@ -72,10 +85,23 @@
             took = int((self.loop.time() - call.at) * 1e6)
             self.counter.on_answer(CountAnswer(call.name, result, total, took))
 
+    def retire(self) -> list[Call]:
+        """The counter has moved: what is written ends here, the rest is handed back for the new place."""
+        self.retired = True
+        if self.connecting is not None:
+            self.connecting.cancel()
+        unwritten = [c for c in self.calls if not (c.written or c.over)]
+        self.calls = deque(c for c in self.calls if c.written)
+        if self.calls:
+            self.loop.call_later(RETIRED, self._give_up, "moved")
+        else:
+            self._give_up("moved")
+        return unwritten
+
     async def _connect(self) -> None:
         try:
             async with asyncio.timeout(max(0.25, self.counter.timeout)):
-                await self.loop.create_connection(lambda: self, *self.counter.address)
+                await self.loop.create_connection(lambda: self, *self.address)
         except (OSError, TimeoutError) as error:
             self._give_up(f"cannot be reached: {error or 'timed out'}")
         finally:
@@ -83,7 +109,9 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         transport = cast(asyncio.Transport, transport)  # uvloop's is none by its type
-        self.transport, self.rest = transport, b""
+        if self.retired:
+            return transport.abort()
+        self.transport, self.rest, self.heard = transport, b"", False
         self.last_heard = self.loop.time()
         self.calls = deque(c for c in self.calls if not c.over)  # not written in time: not sent at all
         for call in self.calls:
@@ -95,11 +123,12 @@
 
     def _give_up(self, why: str) -> None:
         """Whatever is unanswered ends here: written calls may have been added, others were not."""
-        if not self.failing:  # once, not on each attempt to be back
+        if not (self.failing or self.retired):  # once, not on each attempt to be back
             self.failing = True
             log.warning("counter: %s", why)
         transport, self.transport = self.transport, None
-        self.not_before = self.loop.time() + RECONNECT_PAUSE
+        # One that has just answered is worth another connection at once; a dead one must not cost the CPU.
+        self.not_before = self.loop.time() + (0 if transport and self.heard else RECONNECT_PAUSE)
         calls, self.calls = self.calls, deque()
         for call in calls:
             self._answer(call, Result.TIMED_OUT if call.written else Result.NOT_CONNECTED)
@@ -117,43 +146,48 @@
                     break
                 self._answer(call, Result.TIMED_OUT if call.written else Result.NOT_CONNECTED)
         if self.calls and self.transport is not None and self._is_dead(now):
-            self._give_up("silent")
+            self._give_up(f"stuck in a line, {self.rest[:80]!r}" if self.rest else "silent")
 
     def _is_dead(self, now: float) -> bool:
-        return now - self.last_heard > DEAD_AFTER * self.counter.timeout
+        # Part of a line for a whole time-out is noise without an end: answers behind it cannot be told.
+        patience = 1 if self.rest else DEAD_AFTER
+        return now - self.last_heard > patience * self.counter.timeout
 
     def data_received(self, data: bytes) -> None:
-        self.last_heard = self.loop.time()
-        if self.failing:
-            self.failing = False
-            log.info("counter answers again")
+        if self.transport is None:  # given up: what still comes answers nothing
+            return
+        if not self.rest:
+            self.last_heard = self.loop.time()  # bytes that drip into one line are no answer
         *lines, self.rest = (self.rest + data).split(b"\n")
         for line in lines:
+            self.last_heard = self.loop.time()
             if not self.calls:
                 return self._odd(line)
-            call = self.calls.popleft()
-            words = line.split()
-            if words == [b"pong"] and call.name < 0:
-                continue
+            call, words = self.calls.popleft(), line.split()
             if call.name < 0:
-                return self._odd(line)
-            if words[:1] == [b"ok"] and len(words) == 2:
-                try:
-                    total = float(words[1])
-                except ValueError:
-                    total = math.nan
-                if math.isfinite(total):
-                    self._answer(call, Result.OK, total)
-                    continue
-            if words == [b"busy"] or words[:1] == [b"error"]:
+                if words != [b"pong"]:
+                    return self._odd(line)
+            elif (total := read_total(words)) is not None:
+                self._heard()
+                self._answer(call, Result.OK, total)
+            elif words == [b"busy"] or words[:1] == [b"error"]:
+                self._heard()
                 if words != [b"busy"]:
                     log.warning("counter: %s to %s", line, call.line)
                 self._answer(call, Result.TURNED_AWAY)
-                continue
-            self._answer(call, Result.TIMED_OUT)  # it may have been added
-            return self._odd(line)
+            else:
+                self._answer(call, Result.TIMED_OUT)  # it may have been added
+                return self._odd(line)
         if len(self.rest) > MOST_LINE:
             self._odd(self.rest)
+        elif self.retired and not self.calls:
+            self._give_up("moved")
+
+    def _heard(self) -> None:
+        self.heard = True
+        if self.failing:
+            self.failing = False
+            log.info("counter answers again")
 
     def _odd(self, line: bytes) -> None:
         """Answers no longer match their calls."""
@@ -184,7 +218,20 @@
         name = b"%x" % action.name
         life = max(1, math.ceil(action.lifetime / 1000))
         line = b"tally %s %s %d\r\n" % (name, f"{action.amount:.9g}".encode(), life)
-        self.lines[zlib.crc32(name) % CONNECTIONS].call(Call(action.name, line, self.loop.time()))
+        self._deal(Call(action.name, line, self.loop.time()))
+
+    def _deal(self, call: Call) -> None:
+        self.lines[zlib.crc32(b"%x" % call.name) % CONNECTIONS].call(call)
+
+    def move(self, address: Address) -> None:
+        """New calls go to another address; each that is written ends where it was written, and only there."""
+        if address == self.address:
+            return
+        old, self.address = self.lines, address
+        self.lines = [Line(self) for _ in range(CONNECTIONS)]
+        for line in old:
+            for call in line.retire():
+                self._deal(call)
 
     def _ping(self) -> None:
         self.loop.call_later(PING_EVERY / 2, self._ping)
--- a/irisdeal/discovery.py
+++ b/irisdeal/discovery.py
@@ -15,8 +15,8 @@
 
 log = logging.getLogger("irisdeal.discovery")
 
-WAIT = 20_000  # ms that a watch may take
-PATIENCE = 2.0  # s more for its answer, or for that of a plain call
+WAIT = 4_000  # ms that a watch may take: one whose peer has silently gone is found that late
+PATIENCE = 1.0  # s more for its answer, or for that of a plain call
 PAUSE, LONGEST_PAUSE = 0.05, 1.0  # s before a failed call is made again, doubled each time
 MOST_LIST = 8_000_000
 STATES = {"Ready": ServerState.READY, "Terminating": ServerState.DRAINING, "Gone": ServerState.GONE}
@@ -146,6 +146,7 @@
         self.place, self.found, self.reader = config.discovery, found, Reader(config)
         self.version = -1  # of the list held; below 0 the whole is fetched
         self.call: Call | None = None
+        self.task: asyncio.Task[None] | None = None
         self.known = config.known
 
     def remember(self) -> None:
@@ -162,7 +163,24 @@
         if self.call is not None:
             self.call.close()
 
-    async def run(self) -> None:
+    def start(self) -> None:
+        """Watch, until `stop`."""
+        self.task = asyncio.get_running_loop().create_task(self._run())
+
+    def stop(self) -> None:
+        if self.task is not None:
+            self.task.cancel()
+        if self.call is not None:
+            self.call.close()
+            self.call = None
+
+    def move(self, place: Address) -> None:
+        """Ask another discovery, whose versions are its own; the list held stands until it answers."""
+        self.stop()
+        self.place, self.version = place, -1
+        self.start()
+
+    async def _run(self) -> None:
         pause = PAUSE
         while True:
             try:
--- a/irisdeal/door.py
+++ b/irisdeal/door.py
@@ -149,6 +149,11 @@
                 self.pool.close_idle(place)
         self.post(told)
 
+    def recount(self, address: Address | None) -> None:
+        """The counter has another address."""
+        if self.counter is not None and address is not None:
+            self.counter.move(address)
+
     def _overdue(self, number: int) -> None:
         """The module has let a request's time pass: it is still owed an answer."""
         request = self.requests.get(number)
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -143,12 +143,12 @@
     made = config(**changes)
     loop = asyncio.get_running_loop()
     program = Program(made, loop, decider or Gateway(made.settings, made.seed))
-    watch = await program.start()
+    await program.start()
     run = Running(program)
     try:
         yield run
     finally:
-        watch.cancel()
+        program.discovery.stop()
         program.clients.stop_listening()
         for writer in run.writers:
             writer.transport.abort()
--- /dev/null
+++ b/tests/test_reload.py
@@ -0,0 +1,117 @@
+"""A new configuration: discovery and the counter move, and all that is open goes on."""
+
+import asyncio
+import json
+import os
+import signal
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from cresspulley.interface import Count, CountAnswer, Result, ServerList
+from tests.peers import (
+    Peer, Script, answer, as_json, member, read_message, running, settings, socket_test, whole_list)
+from tests.test_door import free_port, start
+
+COUNTED = settings(family_info={"shared_counter": True, "count_wait_us": 5_000_000})
+
+
+def told(discovery: Peer, counter: Peer, **changes: Any) -> dict[str, Any]:
+    return {"listen": "127.0.0.1:9", "discovery": f"127.0.0.1:{discovery.port}",
+            "counter": f"127.0.0.1:{counter.port}", "seed": "1f", "settings": COUNTED, **changes}
+
+
+@socket_test
+async def test_the_new_discovery_gives_its_whole_list_and_the_old_one_is_left() -> None:
+    script = Script(lambda event: [])
+    async with Peer() as old, Peer() as new, running(script, discovery=f"127.0.0.1:{old.port}") as door:
+        reader, writer = await old.connection()
+        await read_message(reader)
+        writer.write(answer(200, as_json(whole_list(member("s-1", 9), revision=41))))
+        await read_message(reader)
+        for _ in range(3):  # several in a row
+            door.program.discovery.move(("127.0.0.1", new.port))
+        assert await reader.read() == b""  # the watch there is dropped at once
+        assert door.program.door.places == {b"s-1": ("127.0.0.1", 9)}  # the list stands meanwhile
+        while True:  # the connections of moves that were overtaken only end
+            to_new, agent = await new.connection()
+            if line := await to_new.readline():
+                break
+        assert line == b"GET /catalog/members HTTP/1.1\r\n"  # versions are each discovery's own
+        await to_new.readuntil(b"\r\n\r\n")
+        agent.write(answer(200, as_json(whole_list(member("s-2", 9), revision=3))))
+        assert "index=3&" in (await read_message(to_new))[0]
+        assert [e.server for e in (await script.wait_for(ServerList, 3))[-1].entries] == [b"s-2"]
+
+
+@socket_test
+async def test_each_call_ends_once_where_it_was_written() -> None:
+    script = Script(lambda event: [])
+    async with Peer() as old, Peer() as new, running(
+            script, settings=COUNTED, counter=f"127.0.0.1:{old.port}") as door:
+        count = door.program.door._apply
+        count(Count(1, 1.0, 1000))
+        reader, writer = await old.connection()
+        await reader.readuntil(b"\r\n")
+        door.program.door.recount(("127.0.0.1", new.port))
+        count(Count(1, 2.0, 1000))
+        to_new, counter = await new.connection()
+        assert await to_new.readuntil(b"\r\n") == b"tally 1 2 1\r\n"  # the first is not said again
+        writer.write(b"ok 1\r\n")
+        assert await reader.read() == b""  # closed once nothing is open there
+        counter.write(b"ok 3\r\n")
+        ends = await script.wait_for(CountAnswer, 2)
+        assert [(e.result, e.total) for e in ends] == [(Result.OK, 1.0), (Result.OK, 3.0)]
+
+
+@socket_test
+async def test_a_call_not_yet_written_is_written_to_the_new_counter() -> None:
+    script = Script(lambda event: [])
+    async with Peer() as old, Peer() as new, running(
+            script, settings=COUNTED, counter=f"127.0.0.1:{old.port}") as door:
+        door.program.door._apply(Count(1, 1.0, 1000))
+        door.program.door.recount(("127.0.0.1", new.port))
+        reader, writer = await new.connection()
+        assert await reader.readuntil(b"\r\n") == b"tally 1 1 1\r\n"
+        writer.write(b"ok 1\r\n")
+        assert [e.result for e in await script.wait_for(CountAnswer)] == [Result.OK]
+
+
+@socket_test
+async def test_a_silent_old_counter_does_not_keep_its_connection() -> None:
+    script = Script(lambda event: [])
+    async with Peer() as old, Peer() as new, running(
+            script, settings=COUNTED, counter=f"127.0.0.1:{old.port}") as door:
+        door.program.door._apply(Count(1, 1.0, 1000))
+        reader, _ = await old.connection()
+        await reader.readuntil(b"\r\n")
+        door.program.door.recount(("127.0.0.1", new.port))
+        assert await reader.read() == b""
+        assert [e.result for e in await script.wait_for(CountAnswer)] == [Result.TIMED_OUT]
+
+
+def test_sighup_reads_the_file_again(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    path = tmp_path / "config.json"
+
+    async def run() -> None:
+        async with Peer() as old, Peer() as new, Peer() as counter:
+            monkeypatch.setitem(os.environ, "EDGE_DISCOVERY", f"127.0.0.1:{old.port}")
+            listen = f"127.0.0.1:{await free_port()}"
+            door = await start(path, told(old, counter, listen=listen))
+            assert door.stderr is not None
+            await old.connection()  # it has started
+            path.write_text("{")
+            door.send_signal(signal.SIGHUP)
+            while b"the old configuration goes on" not in await door.stderr.readline():
+                pass
+            path.write_text(json.dumps(told(new, counter, listen=listen)))
+            door.send_signal(signal.SIGHUP)
+            reader, _ = await new.connection()  # the file goes before the variable now
+            assert await reader.readline() == b"GET /catalog/members HTTP/1.1\r\n"
+            door.send_signal(signal.SIGTERM)
+            door.send_signal(signal.SIGHUP)  # in a drain
+            await door.communicate()
+            assert door.returncode == 0
+
+    asyncio.run(run())
