Bad clients end within two seconds, and descriptors are shared out in one place

When places are scarce answers end their connections, so that those that ask once and stay do not fill them.

--- a/irisdeal/__main__.py
+++ b/irisdeal/__main__.py
@@ -19,12 +19,12 @@
 from irisdeal.config import Config, ConfigError, load
 from irisdeal.discovery import Discovery
 from irisdeal.door import Door
+from irisdeal.limits import share
 
 log = logging.getLogger("irisdeal")
 
 STILL_ACCEPTING = 0.5  # s after SIGTERM: connections go on coming
 ALL_ANSWERED = 3_300_000  # µs after SIGTERM: all is answered, with time to write before 3.5 s
-SPARE_SOCKETS = 64  # descriptors for the loop, the counter, discovery and the standard streams
 LINES_PER_S = 50  # of the log: a flood of failures must not cost the CPU
 
 
@@ -48,20 +48,20 @@
     """One front door, from its start to its end."""
 
     def __init__(self, config: Config, loop: asyncio.AbstractEventLoop, decider: Decider) -> None:
-        share = max(8, (config.sockets - SPARE_SOCKETS) // 2)
+        limits = share(config.sockets)
         self.loop = loop
-        self.pool = Pool(config, share, loop)
+        self.pool = Pool(config, limits.backends, loop)
         self.door = Door(config, decider, self.pool, loop)
-        self.clients = ClientSide(config, self.door, max(8, share - SPARE_SOCKETS), loop)
+        self.clients = ClientSide(config, self.door, limits.clients, loop)
         self.discovery = Discovery(config, self.door.listed)
         self.door.on_refetch = self.discovery.refetch
         self.over = asyncio.Event()
         self.stopping = False
 
-    async def start(self) -> None:
+    def start(self) -> None:
         """Listen, and watch the list."""
         self.discovery.remember()
-        await self.clients.listen()
+        self.clients.listen()
         self.discovery.start()
 
     async def run(self) -> None:
@@ -69,7 +69,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self.stop)
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
-        await self.start()
+        self.start()
         gc.collect()
         gc.freeze()
         await self.over.wait()
--- a/irisdeal/clients.py
+++ b/irisdeal/clients.py
@@ -7,24 +7,32 @@
 import math
 import re
 from collections import deque
+from collections.abc import Callable
 from functools import lru_cache
 from typing import Protocol, cast
 
 import httptools
 
-from cresspulley.interface import Repeat
+from cresspulley.interface import Plan, Repeat
 from irisdeal.config import Config
+from irisdeal.listener import Listener
 
 log = logging.getLogger("irisdeal.clients")
 
 MOST_BODY = 65_536
 MOST_HEAD = 16_384
-MOST_PIPELINED = 4  # unanswered requests on one connection, then it is read no further
+MOST_PIPELINED = 4  # requests of one connection at the door, then it is read no further
+MOST_BEHIND = 64  # more that came in the same read and are turned away; then the connection ends
+MOST_UNITS = 1000.0  # of one request, where its plan has no store
+MOST_QUOTA_TEXT = 100
 LONGEST_WAIT = 3_600_000_000  # µs
 MARGIN = 10_000  # µs of a client's time that the way here and back, and our own turn, may take
-SLOW_REQUEST = 10.0  # s for a request's bytes to come
-IDLE_CONNECTION = 75.0  # s
-LINGER = 1.0  # s that a client with broken framing may take to read why
+SLOW_REQUEST = 1.5  # s for a request's bytes to come, and for the first byte of a connection
+IDLE_CONNECTION = 15.0  # s between requests
+# From this share of the places on, answers end their connections, and an idle one gets only so long.
+CROWDED, IDLE_IN_CROWD = 0.85, 2.0
+LINGER = 1.0  # s that a client may take to read why its connection ends
+SWEEP = 0.25  # s
 # Headers that speak of one connection, or that are written anew.
 NOT_FORWARDED = frozenset((
     b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
@@ -38,7 +46,7 @@
 WHOLE = re.compile(rb"[0-9]{1,9}")
 NUMBER = re.compile(rb"[0-9]{1,9}(?:\.[0-9]{1,9})?")
 REASONS = {
-    200: b"OK", 400: b"Bad Request", 405: b"Method Not Allowed", 408: b"Request Timeout",
+    200: b"OK", 400: b"Bad Request", 405: b"Method Not Allowed", 408: b"Request Timeout", 409: b"Conflict",
     413: b"Content Too Large", 429: b"Too Many Requests", 431: b"Request Header Fields Too Large",
     500: b"Internal Server Error", 502: b"Bad Gateway", 503: b"Service Unavailable"}
 
@@ -69,13 +77,13 @@
 
     __slots__ = (
         "answer", "body", "customer", "first", "gateways", "head", "is_retry", "is_write", "kind", "number",
-        "plan", "then_close", "time_left", "units", "where")
+        "plan", "then_close", "time_left", "trace", "units", "where")
 
     def __init__(self, where: Client) -> None:
         self.where, self.answer = where, b""
         self.then_close = self.is_retry = self.is_write = False
         self.number = -1  # given by the door
-        self.head = self.body = b""
+        self.head = self.body = self.trace = b""
         self.customer = self.plan = self.kind = self.time_left = self.first = 0
         self.gateways, self.units = 1, 1.0
 
@@ -91,6 +99,8 @@
 
     def gone(self, request: ClientRequest) -> None: ...
 
+    def give_up(self, request: ClientRequest) -> None: ...
+
     def can_serve(self) -> bool: ...
 
 
@@ -99,37 +109,49 @@
 
     def __init__(self, side: ClientSide) -> None:
         self.side = side
-        self.parser = httptools.HttpRequestParser(self)
+        self.parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self.transport: asyncio.Transport | None = None
         self.waiting: deque[ClientRequest] = deque()
-        self.in_message = self.closing = self.full = self.broken = False
-        self.since = side.loop.time()  # of the last change between idle and busy
+        self.in_message = self.in_trailer = self.closing = self.full = self.broken = self.paused = False
+        self.spoke = False  # has sent a whole request
+        self.since = side.now()  # of the last change between idle and busy
+        self.begun = self.since  # of the request that comes in
+        self.ends_at = 0.0  # when the connection is cut, once it closes
         self._reset()
 
+    def protocol(self) -> asyncio.Protocol:
+        return self
+
+    def unborn(self) -> None:
+        self.connection_lost(None)
+
     def _reset(self) -> None:
         self.url, self.size = b"", 0
         self.lines: list[bytes] = []
         self.named: dict[bytes, bytes] = {}
         self.parts: list[bytes] = []
-        self.body_size = 0
+        self.body_size, self.framed = 0, False
 
     # The transport's calls
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         transport = cast(asyncio.Transport, transport)  # uvloop's is none by its type
         self.transport = transport
-        self.side.opened(self)
+        if self.closing:  # it had to make room meanwhile
+            transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.closing = True
         self.side.connections.pop(self, None)
         waiting, self.waiting, self.transport = self.waiting, deque(), None
+        self.parser = None  # parser and connection hold each other
         for request in waiting:
             if not request.answer:
+                self.side.open_traces.discard(request.trace)
                 self.side.door.gone(request)
 
     def data_received(self, data: bytes) -> None:
-        if self.closing:
+        if self.closing or self.parser is None:
             return
         try:
             self.parser.feed_data(data)
@@ -142,7 +164,12 @@
                     log.error("a client's request failed: %r", fault)
                 fault = Malformed(400, "malformed request")
             self._reject(fault)
-        if self.transport is not None and len(self.waiting) >= MOST_PIPELINED:
+        if len(self.waiting) >= MOST_PIPELINED:
+            self._pause()
+
+    def _pause(self) -> None:
+        if self.transport is not None and not (self.paused or self.broken):
+            self.paused = True
             self.transport.pause_reading()
 
     def eof_received(self) -> bool:
@@ -150,21 +177,23 @@
 
     def pause_writing(self) -> None:
         self.full = True  # it does not read its answers: take no further requests meanwhile
-        if self.transport is not None:
-            self.transport.pause_reading()
+        self._pause()
 
     def resume_writing(self) -> None:
         self.full = False
         self._read_on()
 
     def _read_on(self) -> None:
-        if self.transport and not (self.full or self.closing) and len(self.waiting) < MOST_PIPELINED:
+        if (self.paused and self.transport is not None and not (self.full or self.closing)
+                and len(self.waiting) < MOST_PIPELINED):
+            self.paused = False
+            self.begun = self.side.now()  # what we did not read was not slow
             self.transport.resume_reading()
 
     # The parser's calls
 
     def on_message_begin(self) -> None:
-        self.in_message, self.since = True, self.side.loop.time()
+        self.in_message, self.in_trailer, self.begun = True, False, self.side.now()
         self._reset()
 
     def on_url(self, url: bytes) -> None:
@@ -173,6 +202,8 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self._grow(len(name) + len(value) + 4)
+        if self.in_trailer:  # behind a chunked body: no header of the request
+            return
         key = name.lower()
         if key in SINGLE:
             if key in self.named:
@@ -180,8 +211,12 @@
             self.named[key] = value
         elif key == b"expect":
             self.named[key] = value
-        elif key == b"content-length" and WHOLE.fullmatch(value) and int(value) > MOST_BODY:
-            raise Malformed(413, f"body over {MOST_BODY} bytes")
+        elif key == b"content-length" or key == b"transfer-encoding":
+            if self.framed or (key == b"transfer-encoding" and value.strip().lower() != b"chunked"):
+                raise Malformed(400, "odd framing")  # two ways to read it may hide a request in the body
+            self.framed = True
+            if value.isdigit() and int(value) > MOST_BODY:
+                raise Malformed(413, f"body over {MOST_BODY} bytes")
         if key not in NOT_FORWARDED:
             self.lines += (name, b": ", value, b"\r\n")
 
@@ -191,6 +226,7 @@
             raise Malformed(431, f"head over {MOST_HEAD} bytes")
 
     def on_headers_complete(self) -> None:
+        self.in_trailer = True
         if self.named.get(b"expect", b"").lower() == b"100-continue" and self.transport and not self.waiting:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
@@ -201,17 +237,22 @@
         self.parts.append(body)
 
     def on_message_complete(self) -> None:
-        self.in_message, self.since = False, self.side.loop.time()
-        if self.closing:
+        self.in_message, self.since, self.spoke = False, self.side.now(), True
+        if self.closing or self.parser is None:
             return  # pipelined behind the last request of this connection
+        if len(self.waiting) >= MOST_PIPELINED + MOST_BEHIND:
+            raise Malformed(503, "too many requests at once")
         request = ClientRequest(self)
         request.then_close = self.closing = not self.parser.should_keep_alive()
         self.waiting.append(request)
+        if len(self.waiting) > MOST_PIPELINED:  # all of one read come here, however many
+            return request.reply(503, b"too many requests at once\n")
         if self.url.partition(b"?")[0] == b"/_health":
             able = self.side.door.can_serve() and not self.side.draining
             return request.reply(200 if able else 503, b"ready\n" if able else b"not ready\n")
         try:
-            self._read(request)
+            self._read(request, self.parser)
+            self.side.open_traces.add(request.trace)
             self.side.door.take(request)
         except Malformed as fault:  # framed well: the connection stays good
             request.reply(fault.status, fault.text.encode() + b"\n", fault.extra)
@@ -220,7 +261,7 @@
             if not request.answer:
                 request.reply(500, b"failed\n")
 
-    def _read(self, request: ClientRequest) -> None:
+    def _read(self, request: ClientRequest, parser: httptools.HttpRequestParser) -> None:
         """Check all that the protocol asks of a request; raise `Malformed` where it is not so."""
         side, named = self.side, self.named
         kind = side.classes.get(named.get(b"x-qos", b""))
@@ -229,17 +270,21 @@
         plan = side.plans.get(named.get(b"plan", b""))
         if plan is None:
             raise Malformed(400, "unknown plan")
-        if b"host" not in named and self.parser.get_http_version() == "1.1":
+        if b"host" not in named and parser.get_http_version() == "1.1":
             raise Malformed(400, "no Host")
-        method = self.parser.get_method()
-        repeat = side.config.settings.classes[kind].repeat
+        method = parser.get_method()
+        rule = side.config.settings.classes[kind]
+        repeat = rule.repeat
         wanted = b"GET" if repeat is Repeat.SAFE else b"POST"
         if method != wanted:
             raise Malformed(405, f"the class wants {wanted.decode()}", b"Allow: " + wanted + b"\r\n")
         if method == b"GET" and self.body_size:
             raise Malformed(400, "GET with a body")
-        if not TOKEN.fullmatch(named.get(b"x-trace-id", b"")):
+        trace = named.get(b"x-trace-id", b"")
+        if not TOKEN.fullmatch(trace):
             raise Malformed(400, "bad X-Trace-Id")
+        if trace in side.open_traces:  # whose answer would be whose?
+            raise Malformed(409, "X-Trace-Id of an open request")
         if repeat is Repeat.KEYED and not TOKEN.fullmatch(named.get(b"idempotency-key", b"")):
             raise Malformed(400, "bad Idempotency-Key")
         account = named.get(b"account", b"")
@@ -249,12 +294,15 @@
         wait = float(expires[1]) * (1000 if expires[2] == b"m" else 1) if expires else 0.0
         if not 0 < wait <= LONGEST_WAIT:
             raise Malformed(400, "bad X-Expires-In")
-        quota = read_quota(named.get(b"quota-info", b""), side.config.settings.gateways)
+        text = named.get(b"quota-info", b"")
+        quota = read_quota(text, side.config.settings.gateways) if len(text) <= MOST_QUOTA_TEXT else None
         if quota is None:
             raise Malformed(400, "bad Quota-Info")
+        if quota[0] > side.most_units[plan]:
+            raise Malformed(400, "more units than the plan can pass")
         request.units, request.gateways, request.first = quota
         request.kind, request.plan, request.customer = kind, plan, int(account, 16)
-        request.time_left = max(1, int(wait) - MARGIN)
+        request.trace, request.time_left = trace, max(1, int(min(wait, rule.deadline)) - MARGIN)
         request.is_retry = named.get(b"x-second-try", b"") == b"1"
         request.is_write = method != b"GET"
         request.head = b"".join((method, b" ", self.url, b" HTTP/1.1\r\n", *self.lines))
@@ -265,8 +313,9 @@
     def reply(self, request: ClientRequest, status: int, body: bytes, extra: bytes) -> None:
         if request.answer or self.transport is None or self.transport.is_closing():
             return  # one final answer, and none to a client that has left
-        if (self.side.draining or self.side.over_full()) and request is self.waiting[-1]:
+        if (self.side.draining or self.side.crowded()) and request is self.waiting[-1]:
             request.then_close = self.closing = True  # behind others it would take their answers along
+        self.side.open_traces.discard(request.trace)
         request.answer = b"".join((
             b"HTTP/1.1 %d %s\r\nContent-Length: %d\r\n" % (status, REASONS.get(status, b"Other"), len(body)),
             extra, b"Connection: close\r\n\r\n" if request.then_close else b"\r\n", body))
@@ -275,20 +324,21 @@
             self.transport.write(done.answer)
             if done.then_close:
                 return self._linger() if self.broken else self._close()
-        self.since = self.side.loop.time()
+        self.since = self.side.now()
         self._read_on()
 
     def _close(self) -> None:
-        self.closing = True
+        self.closing, self.ends_at = True, self.side.now() + LINGER
         if self.transport is not None:
             self.transport.close()
 
     def _linger(self) -> None:
         """Closed with bytes unread, a connection is reset, and the answer on its way is lost."""
+        self.ends_at = self.side.now() + LINGER
         if self.transport is not None:
             self.transport.write_eof()
-            self.transport.resume_reading()
-            self.side.loop.call_later(LINGER, self._close)
+            if self.paused:
+                self.transport.resume_reading()
 
     def _reject(self, fault: Malformed) -> None:
         """The framing is lost: answer in turn, then close."""
@@ -315,61 +365,92 @@
         """Close an idle connection."""
         self._close()
 
-    def expire(self) -> None:
-        """End a request whose bytes do not come."""
-        self._reject(Malformed(408, "request came too slowly"))
+    def check(self, now: float, longest_idle: float) -> None:
+        """End what takes too long."""
+        if self.ends_at:
+            if now > self.ends_at and self.transport is not None:
+                self.transport.abort()  # it neither reads what it is owed nor closes
+        elif self.broken or (self.in_message and not self.paused):
+            if now - self.begun > SLOW_REQUEST:
+                self._reject(Malformed(408, "request came too slowly"))
+                for request in [r for r in self.waiting if not r.answer]:  # what is open ahead of it ends too
+                    self.side.door.give_up(request)
+        elif self.is_idle() and now - self.since > (longest_idle if self.spoke else SLOW_REQUEST):
+            self.retire()
 
 
 class ClientSide:
     """All client connections of this front door."""
 
-    def __init__(self, config: Config, door: Taker, most: int, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self, config: Config, door: Taker, most: int, loop: asyncio.AbstractEventLoop,
+        now: Callable[[], float] | None = None,
+    ) -> None:
         self.config, self.door, self.most, self.loop = config, door, most, loop
+        self.now = now or loop.time
         self.classes = {name.encode(): n for n, name in enumerate(config.classes)}
         self.plans = {name.encode(): n for n, name in enumerate(config.plans)}
+        self.most_units = [most_units(plan) for plan in config.settings.plans]
         self.connections: dict[Client, None] = {}
+        self.open_traces: set[bytes] = set()
         self.draining = False
-        self.server: asyncio.Server | None = None
+        self.listener = Listener(self.admit, loop)
 
-    async def listen(self) -> None:
-        host, port = self.config.listen
-        self.server = await self.loop.create_server(lambda: Client(self), host, port, backlog=1024)
-        self.loop.call_later(1.0, self._sweep)
+    def listen(self) -> None:
+        self.listener.listen(self.config.listen)
+        self.loop.call_later(SWEEP, self._sweep)
 
     def port(self) -> int:
-        assert self.server is not None
-        return int(self.server.sockets[0].getsockname()[1])
+        return self.listener.port()
 
-    def opened(self, client: Client) -> None:
+    def admit(self) -> Client | None:
+        """A new connection, if there is a place for it or another one makes room."""
+        if len(self.connections) >= self.most and not self._make_room():
+            return None
+        client = Client(self)
         self.connections[client] = None
-        if len(self.connections) > self.most:  # descriptors are few: the longest idle one makes room
-            idle = [c for c in self.connections if c.is_idle() and c is not client]
-            if idle:
-                min(idle, key=lambda c: c.since).retire()
-            elif len(self.connections) > self.most + 64 and client.transport is not None:
-                client.transport.abort()
-
-    def over_full(self) -> bool:
-        return len(self.connections) > self.most
+        return client
+
+    def _make_room(self) -> bool:
+        """One that is silent or ends makes room, else the longest idle; the busy and the fresh stay."""
+        before = self.now() - IDLE_IN_CROWD
+        useless = (c for c in self.connections if c.ends_at or (c.is_idle() and not c.spoke))
+        idle = [c for c in self.connections if c.is_idle() and c.since < before]
+        client = next(useless, None) or min(idle, key=lambda c: c.since, default=None)
+        if client is None:
+            return False
+        del self.connections[client]
+        client.closing = True
+        if client.transport is not None:
+            client.transport.abort()
+        return True
+
+    def crowded(self) -> bool:
+        return len(self.connections) > CROWDED * self.most
 
     def _sweep(self) -> None:
-        self.loop.call_later(1.0, self._sweep)
-        now = self.loop.time()
+        self.loop.call_later(SWEEP, self._sweep)
+        self.sweep()
+
+    def sweep(self) -> None:
+        now, longest_idle = self.now(), IDLE_IN_CROWD if self.crowded() else IDLE_CONNECTION
         for client in list(self.connections):
-            if client.in_message and not client.waiting and now - client.since > SLOW_REQUEST:
-                client.expire()
-            elif client.is_idle() and now - client.since > IDLE_CONNECTION:
-                client.retire()
+            client.check(now, longest_idle)
 
     def stop_listening(self) -> None:
-        if self.server is not None:
-            self.server.close()
+        self.listener.close()
 
     def retire_idle(self) -> None:
         for client in [c for c in self.connections if c.is_idle()]:
             client.retire()
 
 
+def most_units(plan: Plan) -> float:
+    """More than this a plan never passes at once: its stores do not hold it."""
+    return min([store for rate, store in (
+        (plan.rate, plan.burst), (plan.ceiling_rate, plan.ceiling_depth)) if rate > 0] or [MOST_UNITS])
+
+
 def retry_after(delay: int) -> bytes:
     """The header that tells a client when to return; nothing where there is no advice."""
     return b"Retry-After: %.3f\r\n" % (math.ceil(delay / 1000) / 1000) if delay > 0 else b""
--- a/irisdeal/door.py
+++ b/irisdeal/door.py
@@ -131,6 +131,10 @@
         """The client left; attempts that are out go on and still count as out."""
         self._leave(client.number)
 
+    def give_up(self, client: ClientRequest) -> None:
+        """Its connection ends and cannot wait for it; what is out goes on and counts, as above."""
+        self._leave(client.number, lambda client: client.reply(502, b"failed\n"))
+
     def can_serve(self) -> bool:
         return self.list_known
 
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -143,7 +143,7 @@
     made = config(**changes)
     loop = asyncio.get_running_loop()
     program = Program(made, loop, decider or Gateway(made.settings, made.seed))
-    await program.start()
+    program.start()
     run = Running(program)
     try:
         yield run
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -241,7 +241,7 @@
         first.write(ask())
         await backend.connection()
         _, second = await door.client()
-        second.write(ask())
+        second.write(ask(trace="a2"))
         assert [e.result for e in await script.wait_for(AttemptEnded)] == [Result.NOT_CONNECTED]
 
 
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -44,6 +44,17 @@
     (post("4x", b"1234"), 400),
     (ask("file", Content_Length=None, Transfer_Encoding="chunked") + b"zz\r\n", 400),
     (ask("file", Content_Length="4", Transfer_Encoding="chunked") + b"0\r\n\r\n", 400),
+    (ask("file", Content_Length=None, Transfer_Encoding="chunked").replace(
+        b"g: chunked", b"g: chunked\r\nContent-Length: 4") + b"0\r\n\r\n", 400),
+    *((ask("file", Content_Length=None, Transfer_Encoding=odd) + b"0\r\n\r\n", 400) for odd in (
+        "gzip, chunked", "chunked, identity", "identity", "xchunked", "chunked;a=1", "\x0bchunked", "")),
+    *((ask("file", Content_Length=odd) + b"aa", 400) for odd in (
+        "+2", "-2", "0x2", "2 2", "2, 2", "", "2\r\nContent-Length: 2", "2\r\nContent-Length: 3")),
+    (post("12345678901", b""), 413),
+    (post("9" * 30, b""), 400),
+    (ask(Plan="metered", Quota_Info="units=201,spread=1,first=0"), 400),
+    (ask(Quota_Info="units=999999999,spread=1,first=0"), 400),
+    (ask(Quota_Info="units=2,spread=1,first=0," + "x" * 200), 400),
     (b"hello\r\n\r\n", 400),
     (GET + b"X-Long: " + b"x" * 20_000 + b"\r\n\r\n", 431),
     (b"GET /" + b"x" * 20_000 + b" HTTP/1.1\r\nHost: svc\r\n\r\n", 431),
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -27,8 +27,8 @@
 
     async with running(Script(fail_on_odd)) as door:
         reader, writer = await door.client()
-        bad, good = ask(Account="0000000000000001"), ask(Account="0000000000000002")
-        writer.write(good + bad + good)  # one batch for the module
+        bad, good = ask(trace="b", Account="0000000000000001"), ask(Account="0000000000000002")
+        writer.write(good + bad + ask(trace="c", Account="0000000000000002"))  # one batch for the module
         statuses = [(await read_message(reader))[0].split()[1] for _ in range(3)]
         assert statuses == ["429", "500", "429"]
         assert (await door.call(good))[0].split()[1] == "429"
--- /dev/null
+++ b/tests/test_patience.py
@@ -0,0 +1,265 @@
+"""Bad clients end soon and take no place from others. Time is the tests' own."""
+
+import asyncio
+import gc
+import weakref
+from contextlib import suppress
+
+import pytest
+
+from cresspulley.interface import Action, Arrival, Event, Refuse, Send
+from irisdeal.clients import MOST_BEHIND, MOST_PIPELINED, ClientSide
+from irisdeal.limits import OWN, share
+from irisdeal.listener import Listener
+from tests.peers import (
+    Peer, Running, Script, Streams, ask, member, read_message, running, socket_test, whole_list)
+
+
+class Hand:
+    """A clock that the test sets."""
+
+    def __init__(self, side: ClientSide) -> None:
+        self.side, self.time = side, 1000.0
+        side.now = lambda: self.time
+
+    def on(self, seconds: float) -> None:
+        self.time += seconds
+        self.side.sweep()
+
+
+async def connected(door: Running, count: int) -> list[Streams]:
+    made = [await door.client() for _ in range(count)]
+    while len(door.program.clients.connections) < count or not all(
+            c.transport for c in door.program.clients.connections):
+        await asyncio.sleep(0)
+    return made
+
+
+async def ended(reader: asyncio.StreamReader) -> bytes:
+    with suppress(ConnectionError):
+        return await reader.read()
+    return b""
+
+
+def silent(event: Event) -> list[Action]:
+    return []
+
+
+@socket_test
+async def test_one_that_never_says_anything_is_closed() -> None:
+    async with running(Script(silent)) as door:
+        hand = Hand(door.program.clients)
+        [(reader, _)] = await connected(door, 1)
+        hand.on(1.0)
+        assert door.program.clients.connections
+        hand.on(0.75)
+        assert await ended(reader) == b""
+
+
+@socket_test
+async def test_half_a_request_ends_however_slowly_it_drips() -> None:
+    async with running(Script(silent)) as door:
+        hand = Hand(door.program.clients)
+        [(reader, writer)] = await connected(door, 1)
+        client = next(iter(door.program.clients.connections))
+        for byte in ask()[:8]:
+            writer.write(bytes((byte,)))
+            size = client.size
+            while client.size == size and not client.in_message:
+                await asyncio.sleep(0)
+            hand.on(0.2)
+        hand.on(0.2)
+        assert b" 408 " in await ended(reader)
+
+
+@pytest.mark.parametrize("rest", [ask(trace="a2")[:20], b"noise\r\n\r\n"])
+def test_what_cannot_be_read_behind_an_open_request_ends_with_it(rest: bytes) -> None:
+    @socket_test
+    async def run() -> None:
+        script = Script(silent)
+        async with running(script) as door:
+            hand = Hand(door.program.clients)
+            [(reader, writer)] = await connected(door, 1)
+            client = next(iter(door.program.clients.connections))
+            writer.write(ask(trace="a1") + rest)
+            await script.wait_for(Arrival)
+            hand.on(1.0)
+            assert client.waiting  # it may still be answered
+            hand.on(0.75)
+            answers = await ended(reader)
+            assert answers.startswith(b"HTTP/1.1 502 ") and answers.count(b"HTTP/1.1 4") == 1
+            assert not door.program.clients.open_traces and not door.program.door.unanswered
+
+    run()
+
+
+@socket_test
+async def test_one_that_does_not_read_its_end_is_cut_off() -> None:
+    async with running(Script(silent)) as door:
+        hand = Hand(door.program.clients)
+        [(_, writer)] = await connected(door, 1)
+        writer.write(b"noise\r\n\r\n")
+        client = next(iter(door.program.clients.connections))
+        while not client.ends_at:
+            await asyncio.sleep(0)
+        hand.on(1.25)
+        while door.program.clients.connections:
+            await asyncio.sleep(0)
+
+
+@socket_test
+async def test_the_bound_on_open_requests_holds_inside_one_read() -> None:
+    script = Script(silent)
+    async with running(script) as door:
+        reader, writer = await door.client()
+        writer.write(b"".join(ask(trace=f"t{n}") for n in range(MOST_PIPELINED + 20)))
+        await script.wait_for(Arrival, MOST_PIPELINED)
+        client = next(iter(door.program.clients.connections))
+        while len(client.waiting) < MOST_PIPELINED + 20:
+            await asyncio.sleep(0)
+        assert len(door.program.door.requests) == MOST_PIPELINED
+        for number in list(door.program.door.requests):
+            door.program.door._apply(Refuse(number))
+        statuses = [(await read_message(reader))[0].split()[1] for _ in range(MOST_PIPELINED + 20)]
+        assert statuses == ["429"] * MOST_PIPELINED + ["503"] * 20
+
+
+@socket_test
+async def test_hundreds_of_requests_at_once_end_their_connection() -> None:
+    script = Script(lambda event: [Refuse(event.request)] if isinstance(event, Arrival) else [])
+    async with running(script) as door:
+        reader, writer = await door.client()
+        writer.write(b"".join(ask(trace=f"t{n}") for n in range(600)))
+        answers = await ended(reader)
+        assert 0 < answers.count(b"HTTP/1.1 ") <= 2 * (MOST_PIPELINED + MOST_BEHIND)
+
+
+@socket_test
+async def test_an_id_that_is_open_is_not_taken_again() -> None:
+    script = Script(lambda event: [Send(event.request, b"s-1")] if isinstance(event, Arrival) else [])
+    async with Peer() as backend, running(script, known=whole_list(member("s-1", backend.port))) as door:
+        client, to_door = await door.client()
+        to_door.write(ask(trace="a1"))
+        reader, writer = await backend.connection()
+        await read_message(reader)
+        assert (await door.call(ask(trace="a1")))[0].split()[1] == "409"
+        writer.write(b"HTTP/1.1 200 X\r\nContent-Length: 4\r\n\r\nmine")
+        assert (await read_message(client))[2] == b"mine"
+        assert len(await script.wait_for(Arrival)) == 1
+        to_door.write(ask(trace="a1"))  # answered: the id is free again
+        await script.wait_for(Arrival, 2)
+
+
+@socket_test
+async def test_trailers_are_no_headers() -> None:
+    script = Script(lambda event: [Send(event.request, b"s-1")] if isinstance(event, Arrival) else [])
+    async with Peer() as backend, running(script, known=whole_list(member("s-1", backend.port))) as door:
+        _, to_door = await door.client()
+        to_door.write(ask("file", Content_Length=None, Transfer_Encoding="chunked")
+                      + b"3\r\nabc\r\n0\r\nX-Trace-Id: other\r\nX-More: 1\r\n\r\n")
+        reader, _ = await backend.connection()
+        _, headers, body = await read_message(reader)
+        assert (headers["x-trace-id"], body, "x-more" in headers) == ("ab12", b"abc", False)
+
+
+@socket_test
+async def test_deadlines_beyond_the_classs_are_cut_to_it() -> None:
+    script = Script(silent)
+    async with running(script) as door:
+        _, to_door = await door.client()
+        to_door.write(ask(X_Expires_In="3000000m"))
+        [arrival] = await script.wait_for(Arrival)
+        assert arrival.time_left <= 10_000_000
+
+
+@socket_test
+async def test_silent_connections_make_room_and_the_newest_goes_when_all_are_busy() -> None:
+    script = Script(silent)
+    async with running(script) as door:
+        side = door.program.clients
+        side.most = 4
+        first, *_ = await connected(door, 4)
+        _, to_door = await door.client()  # takes the place of the longest silent
+        to_door.write(ask(trace="a0"))
+        assert await ended(first[0]) == b""
+        await script.wait_for(Arrival)
+        for n in range(1, 4):
+            _, to_door = await door.client()
+            to_door.write(ask(trace=f"a{n}"))
+            await script.wait_for(Arrival, n + 1)
+        newest, _ = await door.client()
+        assert await ended(newest) == b""
+        assert len(side.connections) == 4 and all(c.waiting for c in side.connections)
+
+
+@socket_test
+async def test_in_a_crowd_the_idle_leave_first_and_not_before_two_seconds() -> None:
+    script = Script(lambda event: [Refuse(event.request)] if isinstance(event, Arrival) else [])
+    async with running(script) as door:
+        side = door.program.clients
+        hand = Hand(side)
+        readers = []
+        for n in range(2):
+            reader, writer = await door.client()
+            writer.write(ask(trace=f"a{n}"))
+            await read_message(reader)
+            readers.append(reader)
+            hand.time += 0.1
+        side.most = 2
+        hand.time += 1.75
+        newest, _ = await door.client()
+        assert await ended(newest) == b""
+        hand.time += 0.1
+        await door.client()
+        assert await ended(readers[0]) == b""
+        while len(side.connections) < 2:
+            await asyncio.sleep(0)
+
+
+def test_what_is_shared_out_stays_under_the_descriptors() -> None:
+    for sockets in (256, 384, 512, 1024):
+        limits = share(sockets)
+        assert limits.clients + limits.backends + OWN <= sockets
+        assert limits.clients >= sockets // 3 and limits.backends >= sockets // 3
+
+
+@socket_test
+async def test_accepting_goes_on_after_descriptors_ran_out() -> None:
+    loop = asyncio.get_running_loop()
+    async with running(Script(silent)) as door:
+        listener: Listener = door.program.clients.listener
+        assert listener.socket is not None
+        real, tries = listener.socket, 0
+
+        class Short:
+            """The socket, once without descriptors."""
+
+            def __getattr__(self, name: str) -> object:
+                return getattr(real, name)
+
+            def accept(self) -> object:
+                nonlocal tries
+                tries += 1
+                if tries == 1:
+                    raise OSError(24, "Too many open files")
+                return real.accept()
+
+        loop.remove_reader(real)
+        listener.socket = Short()  # type: ignore[assignment]
+        loop.add_reader(real, listener._accept)
+        await connected(door, 1)
+        assert tries >= 2
+
+
+@socket_test
+async def test_a_closed_connection_leaves_nothing_for_the_collector() -> None:
+    async with running(Script(silent)) as door:
+        gc.disable()
+        try:
+            [(_, writer)] = await connected(door, 1)
+            held = weakref.ref(next(iter(door.program.clients.connections)))
+            writer.transport.abort()
+            while held() is not None:
+                await asyncio.sleep(0)
+        finally:
+            gc.enable()
