--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -1,6 +1,7 @@
 """The demand split, the companion and what acts when the counter does not."""
 
 import math
+from collections.abc import Callable
 
 import pytest
 
@@ -330,3 +331,16 @@
                 desk.end(send.request, send.server, Result.TURNED_AWAY if plan_ == FREE else Result.OK)
     bad = desk.gateway.servers[name(0)].bad
     assert bad[desk.settings.plans[FREE]] > 0.2 and bad[None] == bad[desk.settings.plans[CAPPED]] == 0.0
+
+
+def test_a_counter_that_fails_some_calls_is_asked_on_and_one_that_fails_all_is_spared() -> None:
+    def strain(answered: Callable[[int], bool]) -> float:
+        desk = Desk(gateways=2)
+        for n in range(200):
+            desk.counter_answers = answered(n)
+            desk.serve(customer=n, plan=RATED, gateways=2)
+            desk.run(20 * MS)
+        return desk.gateway.strain
+
+    assert strain(lambda n: n % 5 not in (1, 3)) < 2.0  # two in five fail: totals must not grow old
+    assert strain(lambda n: False) > 10.0
