What a customer owes is scaled at the call only: given back it grew without bound

Also: an attempt for which there is no descriptor is not sent, and no backend's fault; zones and kinds that are ever new share a number; a counter's line without an end is given up at the call's time-out.

--- a/cresspulley/control.py
+++ b/cresspulley/control.py
@@ -262,8 +262,7 @@
         age = self.now - customer.told_at if customer.told_at >= 0 else KNOWN_FOR
         spare = customer.fading * min(1.0, customer.ways / TELLERS) * self.strain
         if age >= KNOWN_FOR:
-            if call := self.random.random() * self.strain < 1.0:
-                customer.owed *= self.strain  # speaks for those that do not call
+            call = self.random.random() * self.strain < 1.0
         else:
             near = NEAR * room < customer.guess(weight) * self.strain and customer.guess(weight) < room
             call = age > (spare / 4 if near else spare)
@@ -429,8 +428,9 @@
         index, into = divmod(self.now - customer.phase, customer.period)
         name = (customer.key << 24) | (index % 2**24)
         self.calls.setdefault(name, deque()).append((request, customer.owed, index))
-        self.actions.append(
-            Count(name, customer.owed * math.exp(into / customer.fading), customer.period + 5 * SECOND))
+        fresh = 0 <= customer.told_at > self.now - KNOWN_FOR  # else it speaks for those that do not call
+        amount = customer.owed * math.exp(into / customer.fading) * (1.0 if fresh else self.strain)
+        self.actions.append(Count(name, amount, customer.period + 5 * SECOND))
         customer.owed = 0.0
 
     def _counted(self, event: CountAnswer) -> None:
--- a/irisdeal/backends.py
+++ b/irisdeal/backends.py
@@ -282,7 +282,7 @@
             return connection.carry(attempt)
         if len(self.all) >= self.most and not self._make_room():
             log.warning("all %d connections to backends are busy", self.most)
-            return attempt.finish(Result.NOT_CONNECTED)
+            return attempt.finish(Result.NOT_SENT)  # our want of descriptors says nothing of the backend
         connection = Backend(self, attempt.server, attempt.address)
         self.all.add(connection)
         connection.carry(attempt)
--- a/irisdeal/counter.py
+++ b/irisdeal/counter.py
@@ -149,8 +149,8 @@
             self._give_up(f"stuck in a line, {self.rest[:80]!r}" if self.rest else "silent")
 
     def _is_dead(self, now: float) -> bool:
-        # Part of a line for a whole time-out is noise without an end: answers behind it cannot be told.
-        patience = 1 if self.rest else DEAD_AFTER
+        # Part of a line for so long is noise without an end: answers behind it cannot be told.
+        patience = 0.5 if self.rest else DEAD_AFTER
         return now - self.last_heard > patience * self.counter.timeout
 
     def data_received(self, data: bytes) -> None:
--- a/irisdeal/discovery.py
+++ b/irisdeal/discovery.py
@@ -19,6 +19,7 @@
 PATIENCE = 1.0  # s more for its answer, or for that of a plain call
 PAUSE, LONGEST_PAUSE = 0.05, 1.0  # s before a failed call is made again, doubled each time
 MOST_LIST = 8_000_000
+MOST_NAMES = 64  # of zones, and of kinds
 STATES = {"Ready": ServerState.READY, "Terminating": ServerState.DRAINING, "Gone": ServerState.GONE}
 
 Found = Callable[[ServerList, dict[bytes, Address]], None]
@@ -64,12 +65,22 @@
             state=state,
             started=max(0, int(member.get("up_since_ms") or 0)) * 1000,
             weight=float(member.get("size") or 1.0),
-            zone=self.zones.setdefault(str(member.get("locality")), len(self.zones)),
+            zone=_number(self.zones, member.get("locality")),
             cell=int(member.get("cell") or 0),
-            kind=self.kinds.setdefault(str(member.get("flavor")), len(self.kinds)),
+            kind=_number(self.kinds, member.get("flavor")),
         ), place
 
 
+def _number(names: dict[str, int], name: object) -> int:
+    """The number of a name. Once there are many, new ones share one: the table must not grow all day."""
+    number = names.get(str(name))
+    if number is None:
+        number = len(names)
+        if number < MOST_NAMES:
+            names[str(name)] = number
+    return number
+
+
 def _version(told: dict[str, Any]) -> int:
     revision = told.get("revision")
     if not isinstance(revision, int) or isinstance(revision, bool) or revision < 0:
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -233,7 +233,7 @@
 
 
 @socket_test
-async def test_more_attempts_than_connections_end_as_not_connected() -> None:
+async def test_more_attempts_than_connections_are_not_sent_and_no_backends_fault() -> None:
     script = Script(lambda event: [Send(event.request, b"s-1")] if isinstance(event, Arrival) else [])
     async with Peer() as backend, running(script, known=whole_list(member("s-1", backend.port))) as door:
         door.program.pool.most = 1
@@ -242,7 +242,7 @@
         await backend.connection()
         _, second = await door.client()
         second.write(ask(trace="a2"))
-        assert [e.result for e in await script.wait_for(AttemptEnded)] == [Result.NOT_CONNECTED]
+        assert [e.result for e in await script.wait_for(AttemptEnded)] == [Result.NOT_SENT]
 
 
 @pytest.mark.parametrize("behind", [answer(200, b"stale"), b"noise", answer(200, b"stale")[:20]])
--- a/tests/test_counter.py
+++ b/tests/test_counter.py
@@ -1,5 +1,6 @@
 """Each call to the counter gets exactly one answer, whatever the counter does."""
 
+import asyncio
 from typing import Any
 
 from cresspulley.interface import Count, CountAnswer, Result
@@ -96,7 +97,9 @@
 
 @socket_test
 async def test_odd_lines_end_the_connection_not_the_door() -> None:
-    for odd in (b"ok\r\n", b"ok nan\r\n", b"what\r\n", b"x" * 1000, b"pong\r\n", b"\xff\xfe\r\n"):
+    totals = (b"", b" nan", b" 1_0", b" inf", b" 1e999", b" 1 2")
+    odd_totals = [b"ok" + total + b"\r\n" for total in totals]
+    for odd in (*odd_totals, b"what\r\n", b"x" * 1000, b"pong\r\n", b"\xff\xfe\r\n"):
         script = quiet()
         async with Peer() as counter, running(script, **counting(counter)) as door:
             door.program.door._apply(Count(1, 1.0, 1000))
@@ -104,3 +107,47 @@
             await reader.readuntil(b"\r\n")
             writer.write(odd)
             assert [a.result for a in await script.wait_for(CountAnswer)] == [Result.TIMED_OUT]
+
+
+@socket_test
+async def test_after_an_odd_line_the_next_call_is_heard_on_a_new_connection() -> None:
+    script = quiet()
+    async with Peer() as counter, running(script, **counting(counter)) as door:
+        count = door.program.door._apply
+        count(Count(1, 1.0, 1000))
+        reader, writer = await counter.connection()
+        await reader.readuntil(b"\r\n")
+        writer.write(b"ok 1\r\n")
+        await script.wait_for(CountAnswer)
+        count(Count(1, 1.0, 1000))
+        await reader.readuntil(b"\r\n")
+        writer.write(b"ok {}\r\n")
+        await script.wait_for(CountAnswer, 2)
+        count(Count(1, 1.0, 1000))  # at once: a quarter of the names must not wait a pause out
+        reader, writer = await counter.connection()
+        await reader.readuntil(b"\r\n")
+        writer.write(b"ok 3\r\n")
+        told = await script.wait_for(CountAnswer, 3)
+        assert [a.result for a in told] == [Result.OK, Result.TIMED_OUT, Result.OK]
+
+
+@socket_test
+async def test_a_line_without_an_end_costs_one_call_its_time_and_no_other_line() -> None:
+    script = quiet()
+    async with Peer() as counter, running(script, **counting(counter, count_wait_us=200_000)) as door:
+        count = door.program.door._apply
+        count(Count(1, 1.0, 1000))
+        reader, writer = await counter.connection()
+        await reader.readuntil(b"\r\n")
+        writer.write(b"ok 1")  # and nothing more
+        assert [a.result for a in await script.wait_for(CountAnswer)] == [Result.TIMED_OUT]
+        assert await reader.read() == b""  # given up: answers behind it could not be told apart
+        assert door.program.door.counter is not None
+        line = next(line for line in door.program.door.counter.lines if line.not_before)
+        while asyncio.get_running_loop().time() < line.not_before:
+            await asyncio.sleep(0.01)
+        count(Count(1, 1.0, 1000))
+        reader, writer = await counter.connection()
+        await reader.readuntil(b"\r\n")
+        writer.write(b"ok 2\r\n")
+        assert (await script.wait_for(CountAnswer, 2))[1].total == 2.0
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -3,8 +3,10 @@
 import asyncio
 
 from cresspulley.interface import ListKind, ServerList, ServerState
+from irisdeal.discovery import MOST_NAMES, Reader
 from tests.peers import (
-    Peer, Script, answer, as_json, ask, member, read_message, running, send_all, socket_test, whole_list)
+    Peer, Script, answer, as_json, ask, config, member, read_message, running, send_all, socket_test,
+    whole_list)
 
 
 def changes(revision: int, *members: dict[str, object]) -> bytes:
@@ -88,6 +90,15 @@
         assert (await read_message(reader))[1]["x-trace-id"] == "a2"
 
 
+def test_names_that_are_ever_new_do_not_fill_the_memory() -> None:
+    reader = Reader(config())
+    for n in range(1000):
+        told, _ = reader.read(whole_list(member("s-1", 9, locality=f"z{n}", flavor=f"k{n}")))
+        [entry] = told.entries
+        assert (entry.zone, entry.kind) == (min(2 + n, MOST_NAMES), min(1 + n, MOST_NAMES))
+    assert len(reader.zones) == len(reader.kinds) == MOST_NAMES
+
+
 @socket_test
 async def test_no_discovery_at_all_leaves_the_remembered_list() -> None:
     async with Peer() as backend, running(known=whole_list(member("s-1", backend.port))) as door:
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -382,3 +382,17 @@
 
     assert strain(lambda n: n % 5 not in (1, 3)) < 2.0  # two in five fail: totals must not grow old
     assert strain(lambda n: False) > 10.0
+
+
+def test_what_is_owed_does_not_grow_by_calls_that_added_nothing() -> None:
+    desk = Desk(gateways=2)
+    desk.counter_answers, desk.refusal = False, Result.NOT_CONNECTED
+    for _ in range(400):
+        desk.serve(customer=9, plan=RATED, gateways=2)
+        desk.run(10 * MS)
+    desk.gateway.strain = 1.0
+    desk.counter_answers = True
+    desk.ask(customer=9, plan=RATED, gateways=2)
+    # 401 units and the weight of the interval's end, not those times the strain of each failed call.
+    assert of(Count, [a for _, a in desk.log])[-1].amount < 401 * math.exp(8) * 1.01
+    assert desk.gateway.customers[9, RATED].owed == 0.0
