--- a/cresspulley/control.py
+++ b/cresspulley/control.py
@@ -19,7 +19,7 @@
 
 FADING_SHARE, FADING_TIMEOUTS = 0.4, 50  # fading interval: of the time a burst lasts; else counter time-outs
 PERIOD = 8  # fading intervals that one name holds; a new name starts from what was last known
-ROOM, FILL, LEFT = 0.95, 0.7, 0.5  # parts that the chance aims at: of rate, cap, what is left of a burst
+ROOM, FILL, LEFT = 0.90, 0.7, 0.5  # parts that the chance aims at: of rate, cap, what is left of a burst
 TELLERS, OWN_ROOM = 25, 1.4  # gateways that tell in one interval; even parts that an untold customer gets
 FEW, NEAR = 3.0, 0.5  # requests too few to tell a change; of its room: from here a total is asked for sooner
 KNOWN_FOR, FORGOTTEN = 20_000_000, 4  # a total so old says little; customers forgotten at most for an arrival
--- a/irisdeal/backends.py
+++ b/irisdeal/backends.py
@@ -20,6 +20,8 @@
 MOST_HEAD = 16_384
 MOST_INTERIM = 16  # 1xx answers ahead of one that counts
 IDLE_SHARE = 0.5  # of the set idle time: a request on a connection closed meanwhile ends as a reset
+# Some close sooner: a request on a dead connection costs far more than a new connection.
+LEAST_KEEP, KEEP_LESS, KEEP_MORE = 0.05, 0.8, 1.02  # s; times after a dead one; after a good one as old
 REST = 0.01  # s before a connection is used again: bytes that belong to no answer show within that time
 STALLED = 0.25  # s for the rest of an answer that has begun: backends write theirs whole
 # The most of each figure that a backend can mean; beyond it is noise.
@@ -111,6 +113,7 @@
         self.parser: httptools.HttpResponseParser | None = None
         self.written = self.lost = self.retired = False
         self.idle_since = 0.0
+        self.rested: float | None = None  # s before the present request; None on a new connection
         self.file = -1
         self.connecting: asyncio.Task[None] | None = None
         self.stalled: asyncio.TimerHandle | None = None
@@ -140,6 +143,8 @@
         if self.stalled is not None:
             self.stalled.cancel()
             self.stalled = None
+        if self.whole and self.rested is not None:
+            self.pool.learn(self.rested, True)
         if self.whole and self.reusable and not (self.lost or self.retired):
             self.written = self.whole = False
             self.pool.rest(self)
@@ -201,6 +206,8 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.parser = self.transport = None  # parser and connection hold each other
+        if self.attempt is not None and self.rested is not None and not self.begun:
+            self.pool.learn(self.rested, False)  # closed while it stood idle, and not seen in time
         self._end(Result.CONNECTION_LOST if self.written else Result.NOT_CONNECTED)
 
     def data_received(self, data: bytes) -> None:
@@ -270,7 +277,7 @@
     def __init__(self, config: Config, most: int, loop: asyncio.AbstractEventLoop) -> None:
         self.loop, self.most, self.rest_time, self.stall_time = loop, most, REST, STALLED
         self.connect_timeout = config.connect_timeout / 1e6
-        self.keep = config.keepalive / 1e6 * IDLE_SHARE
+        self.keep = self.longest = config.keepalive / 1e6 * IDLE_SHARE
         # By backend, not by address: a new backend may stand where another one stood.
         self.idle: dict[bytes, list[Backend]] = {}
         self.all: set[Backend] = set()
@@ -293,11 +300,19 @@
         for n in range(len(resting) - 1, -1, -1):
             if resting[n].idle_since <= now - self.rest_time:
                 connection = resting.pop(n)
-                if connection.is_clean():
+                connection.rested = now - connection.idle_since
+                if connection.rested <= self.keep and connection.is_clean():
                     return connection
                 connection.drop()
         return None
 
+    def learn(self, rested: float, good: bool) -> None:
+        """How long connections may rest: less than those that were found dead, in time again more."""
+        if not good:
+            self.keep = max(LEAST_KEEP, min(self.keep, rested) * KEEP_LESS)
+        elif rested > self.keep * KEEP_LESS:
+            self.keep = min(self.longest, self.keep * KEEP_MORE)
+
     def _make_room(self) -> bool:
         resting = [c for few in self.idle.values() for c in few]
         if resting:
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -375,3 +375,35 @@
                 await asyncio.sleep(0)
         finally:
             gc.enable()
+
+
+@socket_test
+async def test_a_connection_found_dead_shortens_the_rest_of_the_others() -> None:
+    async with Peer() as backend, running(
+            Script(send_all), known=whole_list(member("s-1", backend.port))) as door:
+        pool = door.program.pool
+        pool.rest_time = 0.0
+        client, to_door = await door.client()
+        to_door.write(ask(trace="a1"))
+        reader, writer = await backend.connection()
+        await read_message(reader)
+        writer.write(answer())
+        await read_message(client)
+        pool.idle[b"s-1"][0].idle_since -= 5.0
+        to_door.write(ask(trace="a2"))
+        await read_message(reader)
+        writer.transport.abort()  # as a peer that had forgotten the connection
+        await read_message(client)
+        assert 3.0 < pool.keep < 5.0 < pool.longest
+        to_door.write(ask(trace="a3"))
+        reader, writer = await backend.connection()
+        await read_message(reader)
+        writer.write(answer())
+        await read_message(client)
+        pool.idle[b"s-1"][0].idle_since -= 5.0
+        to_door.write(ask(trace="a4"))
+        reader, _ = await backend.connection()  # five seconds are too long by now
+        assert (await read_message(reader))[1]["x-trace-id"] == "a4"
+        for _ in range(1000):
+            pool.learn(pool.keep, True)
+        assert pool.keep == pool.longest
