The learnt rest of connections grows again by a tenth a second

Resets at random cut the rest to its least, 0.05 s; at that no connection rests long enough to show that it could, so it never grew.

--- a/irisdeal/backends.py
+++ b/irisdeal/backends.py
@@ -22,6 +22,7 @@
 IDLE_SHARE = 0.5  # of the set idle time: a request on a connection closed meanwhile ends as a reset
 # Some close sooner: a request on a dead connection costs far more than a new connection.
 LEAST_KEEP, KEEP_LESS, KEEP_MORE = 0.05, 0.8, 1.02  # s; times after a dead one; after a good one as old
+KEEP_AGAIN = 1.1  # times each second
 REST = 0.01  # s before a connection is used again: bytes that belong to no answer show within that time
 STALLED = 0.25  # s for the rest of an answer that has begun: backends write theirs whole
 # The most of each figure that a backend can mean; beyond it is noise.
@@ -306,6 +307,10 @@
                 connection.drop()
         return None
 
+    def recover(self) -> None:
+        """Once a second: where none may rest, none would show that it could."""
+        self.keep = min(self.longest, self.keep * KEEP_AGAIN)
+
     def learn(self, rested: float, good: bool) -> None:
         """How long connections may rest: less than those that were found dead, in time again more."""
         if not good:
@@ -344,6 +349,7 @@
 
     def _sweep(self) -> None:
         self.loop.call_later(1.0, self._sweep)
+        self.recover()
         oldest = self.loop.time() - self.keep
         for resting in list(self.idle.values()):
             for connection in [c for c in resting if c.idle_since < oldest]:
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -407,3 +407,7 @@
         for _ in range(1000):
             pool.learn(pool.keep, True)
         assert pool.keep == pool.longest
+        pool.learn(0.0, False)
+        for _ in range(100):
+            pool.recover()
+        assert pool.keep == pool.longest
