--- a/irisdeal/backends.py
+++ b/irisdeal/door/backends.py
@@ -12,7 +12,7 @@
 
 from cresspulley.interface import LoadReport, Result
 from cresspulley.wire import COLUMNS
-from irisdeal.config import Address, Config
+from irisdeal.door.config import Address, Config
 
 log = logging.getLogger("irisdeal.backends")
 
--- a/irisdeal/clients.py
+++ b/irisdeal/door/clients.py
@@ -14,8 +14,8 @@
 import httptools
 
 from cresspulley.interface import Plan, Repeat
-from irisdeal.config import Config
-from irisdeal.listener import Listener
+from irisdeal.door.config import Config
+from irisdeal.door.listener import Listener
 
 log = logging.getLogger("irisdeal.clients")
 
--- a/irisdeal/counter.py
+++ b/irisdeal/door/counter.py
@@ -12,7 +12,7 @@
 from typing import cast
 
 from cresspulley.interface import Count, CountAnswer, Result
-from irisdeal.config import Address
+from irisdeal.door.config import Address
 
 log = logging.getLogger("irisdeal.counter")
 
--- a/irisdeal/discovery.py
+++ b/irisdeal/door/discovery.py
@@ -11,7 +11,7 @@
 import httptools
 
 from cresspulley.interface import ListKind, ServerEntry, ServerList, ServerState
-from irisdeal.config import Address, Config, address
+from irisdeal.door.config import Address, Config, address
 
 log = logging.getLogger("irisdeal.discovery")
 
--- a/irisdeal/listener.py
+++ b/irisdeal/door/listener.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from irisdeal.config import Address
+from irisdeal.door.config import Address
 
 log = logging.getLogger("irisdeal.listener")
 
--- a/irisdeal/door.py
+++ b/irisdeal/door/loop.py
@@ -11,10 +11,10 @@
 from cresspulley.interface import (
     Action, Arrival, AttemptEnded, Cancel, CloseIdle, Count, CountAnswer, Decider, Event, Fail, FetchList,
     FollowList, ListKind, Note, Refuse, RequestEnded, Result, Send, ServerList, Wake, Woken)
-from irisdeal.backends import Answer, Attempt, Pool
-from irisdeal.clients import ClientRequest, retry_after
-from irisdeal.config import Address, Config
-from irisdeal.counter import Counter
+from irisdeal.door.backends import Answer, Attempt, Pool
+from irisdeal.door.clients import ClientRequest, retry_after
+from irisdeal.door.config import Address, Config
+from irisdeal.door.counter import Counter
 
 log = logging.getLogger("irisdeal.door")
 
--- /dev/null
+++ b/irisdeal/door/program.py
@@ -0,0 +1,128 @@
+"""Start, signals, exit."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import os
+import signal
+import sys
+import time
+
+import uvloop
+
+from cresspulley.control import Gateway
+from cresspulley.interface import Decider
+from irisdeal.door.backends import Pool
+from irisdeal.door.clients import ClientSide
+from irisdeal.door.config import Config, ConfigError, load
+from irisdeal.door.discovery import Discovery
+from irisdeal.door.loop import Door
+from irisdeal.door.limits import share
+
+log = logging.getLogger("irisdeal")
+
+STILL_ACCEPTING = 0.5  # s after SIGTERM: connections go on coming
+ALL_ANSWERED = 3_300_000  # µs after SIGTERM: all is answered, with time to write before 3.5 s
+LINES_PER_S = 50  # of the log: a flood of failures must not cost the CPU
+
+
+class Sparing(logging.Filter):
+    """Lets some lines a second through and tells how many it dropped."""
+
+    second, lines, dropped = 0, 0, 0
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        second = int(time.monotonic())
+        if second != self.second:
+            if self.dropped:
+                record.msg = f"({self.dropped} lines dropped) {record.msg}"
+            self.second, self.lines, self.dropped = second, 0, 0
+        self.lines += 1
+        self.dropped += self.lines > LINES_PER_S
+        return self.lines <= LINES_PER_S
+
+
+class Program:
+    """One front door, from its start to its end."""
+
+    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop, decider: Decider) -> None:
+        limits = share(config.sockets)
+        self.loop = loop
+        self.pool = Pool(config, limits.backends, loop)
+        self.door = Door(config, decider, self.pool, loop)
+        self.clients = ClientSide(config, self.door, limits.clients, loop)
+        self.discovery = Discovery(config, self.door.listed)
+        self.door.on_refetch = self.discovery.refetch
+        self.over = asyncio.Event()
+        self.stopping = False
+
+    def start(self) -> None:
+        """Listen, and watch the list."""
+        self.discovery.remember()
+        self.clients.listen()
+        self.discovery.start()
+
+    async def run(self) -> None:
+        """Serve until SIGTERM, then until all is answered."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self.loop.add_signal_handler(number, self.stop)
+        self.loop.add_signal_handler(signal.SIGHUP, self.reload)
+        self.start()
+        gc.collect()
+        gc.freeze()
+        await self.over.wait()
+        self.discovery.stop()
+        # Answers just written leave with their connections, which close once written.
+        until = self.loop.time() + 0.15
+        while self.clients.connections and self.loop.time() < until:
+            await asyncio.sleep(0.005)
+
+    def reload(self) -> None:
+        """Read the configuration again: discovery and the counter may have moved."""
+        try:
+            config = load(os.environ, again=True)
+        except ConfigError as error:
+            return log.error("the old configuration goes on: %s", " ".join(str(error).split()))
+        log.info("configuration read again: discovery %s:%d, counter %s:%d",
+                 *config.discovery, *(config.counter or ("none", 0)))
+        self.discovery.move(config.discovery)
+        self.door.recount(config.counter)
+
+    def stop(self) -> None:
+        if not self.stopping:
+            self.stopping = self.clients.draining = True
+            self.door.drain(self.door.clock.now() + ALL_ANSWERED)
+            self.loop.call_later(STILL_ACCEPTING, self._stop_accepting)
+
+    def _stop_accepting(self) -> None:
+        self.clients.stop_listening()
+        self.clients.retire_idle()
+        self.door.on_quiet = self.over.set
+        if not self.door.unanswered:
+            self.over.set()
+
+
+async def serve(config: Config) -> int:
+    try:
+        gateway = Gateway(config.settings, config.seed)
+        await Program(config, asyncio.get_running_loop(), gateway).run()
+    except OSError as error:
+        print(f"irisdeal: cannot listen on {config.listen[0]}:{config.listen[1]}: {error}", file=sys.stderr)
+        return 1
+    return 0
+
+
+def main() -> int:
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # before there is a handler, it would end the process
+    logging.basicConfig(stream=sys.stderr, format="%(asctime)s %(levelname)s %(name)s: %(message)s",
+                        level=logging.INFO)
+    logging.getLogger().handlers[0].addFilter(Sparing())
+    try:
+        config = load(os.environ)
+    except ConfigError as error:
+        print("irisdeal:", " ".join(str(error).split()), file=sys.stderr)
+        return 2
+    return uvloop.run(serve(config))
+
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -12,8 +12,8 @@
 
 from cresspulley.control import Gateway
 from cresspulley.interface import Action, Arrival, AttemptEnded, Decider, Event, Fail, Send
-from irisdeal.__main__ import Program
-from irisdeal.config import Config, parse
+from irisdeal.door.program import Program
+from irisdeal.door.config import Config, parse
 
 E = TypeVar("E")
 Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -13,7 +13,7 @@
 
 from cresspulley.interface import (
     Action, Arrival, AttemptEnded, Cancel, Event, LoadReport, RequestEnded, Result, Send)
-from irisdeal.backends import Attempt, Pool
+from irisdeal.door.backends import Attempt, Pool
 from tests.peers import (
     Peer, Script, answer, ask, config, member, read_message, running, send_all, socket_test, whole_list)
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from cresspulley.interface import ListKind, ServerList, ServerState
-from irisdeal.discovery import MOST_NAMES, Reader
+from irisdeal.door.discovery import MOST_NAMES, Reader
 from tests.peers import (
     Peer, Script, answer, as_json, ask, config, member, read_message, running, send_all, socket_test,
     whole_list)
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -11,7 +11,7 @@
 import pytest
 
 from cresspulley.interface import Action, Arrival, Event, Refuse, Send
-from irisdeal.config import ConfigError, load
+from irisdeal.door.config import ConfigError, load
 from tests.peers import (
     Peer, Script, answer, ask, member, read_message, running, send_all, settings, socket_test, whole_list)
 
--- a/tests/test_patience.py
+++ b/tests/test_patience.py
@@ -8,9 +8,9 @@
 import pytest
 
 from cresspulley.interface import Action, Arrival, Event, Refuse, Send
-from irisdeal.clients import MOST_BEHIND, MOST_PIPELINED, ClientSide
-from irisdeal.limits import OWN, share
-from irisdeal.listener import Listener
+from irisdeal.door.clients import MOST_BEHIND, MOST_PIPELINED, ClientSide
+from irisdeal.door.limits import OWN, share
+from irisdeal.door.listener import Listener
 from tests.peers import (
     Peer, Running, Script, Streams, ask, member, read_message, running, socket_test, whole_list)
 
