--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+# `make demo` and `make test` each do all of their own set-up; Python 3.11 or later is all they want.
+PYTHON ?= python3
+
+.PHONY: demo test bench clean
+
+demo: .venv-tool/installed.txt
+	.venv-tool/bin/python -m irisdeal.cli.main demo $(ARGS)
+
+test: .venv-dev/installed.txt
+	.venv-dev/bin/ruff check .
+	.venv-dev/bin/mypy
+	.venv-dev/bin/lint-imports --no-cache
+	.venv-dev/bin/python -m pytest
+
+bench: .venv-dev/installed.txt
+	.venv-dev/bin/python -m benchmarks.door_cost $(ARGS)
+
+.venv-tool/installed.txt: requirements.txt requirements-tool.txt
+	test -x .venv-tool/bin/python || $(PYTHON) -m venv .venv-tool
+	.venv-tool/bin/pip -q install -r requirements.txt -r requirements-tool.txt
+	cat requirements.txt requirements-tool.txt > $@
+
+.venv-dev/installed.txt: requirements.txt requirements-tool.txt requirements-dev.txt
+	test -x .venv-dev/bin/python || $(PYTHON) -m venv .venv-dev
+	.venv-dev/bin/pip -q install -r requirements.txt -r requirements-tool.txt -r requirements-dev.txt
+	cat requirements.txt requirements-tool.txt requirements-dev.txt > $@
+
+clean:
+	rm -rf .venv .venv-tool .venv-dev build dist
--- a/irisdeal/__init__.py
+++ b/irisdeal/__init__.py
@@ -1,1 +1,3 @@
-"""The front door on real sockets: transport round the decisions of `cresspulley`."""
+"""A quota gateway: front doors on real sockets round `cresspulley`, and their tools."""
+
+__version__ = "0.3.0"
--- /dev/null
+++ b/irisdeal/cli/main.py
@@ -0,0 +1,148 @@
+"""`irisdeal`: the commands. Exit codes: 0 done, 1 the check failed, 2 it cannot be used as asked."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import click
+from rich.console import Console
+from rich.progress import BarColumn, Progress, TextColumn, TimeElapsedColumn
+
+from irisdeal import __version__
+
+if TYPE_CHECKING:
+    from irisdeal.demo.processes import Deploy
+    from irisdeal.demo.run import Outcome
+    from irisdeal.standins.schedule import Day
+
+CONTEXT = {"help_option_names": ["-h", "--help"], "max_content_width": 100}
+
+
+class Unusable(click.ClickException):
+    """Cannot be used as asked: one line on standard error, exit code 2."""
+
+    exit_code = 2
+
+    def show(self, file: object = None) -> None:
+        click.echo(f"irisdeal: {self.message}", err=True)
+
+
+@click.group(context_settings=CONTEXT)
+@click.version_option(__version__, prog_name="irisdeal")
+def main() -> None:
+    """Front doors that keep each store to its quota before a shared fleet, and the tools round them."""
+
+
+@main.command()
+def serve() -> None:
+    """Run one front door in the foreground, as `python -m irisdeal` does.
+
+    The configuration is the JSON file that EDGE_CONFIG names; EDGE_NAME, EDGE_LISTEN and EDGE_DISCOVERY go
+    before it.
+
+    Example: EDGE_CONFIG=config.json irisdeal serve
+    """
+    from irisdeal.door.program import main as run_door
+
+    sys.exit(run_door())
+
+
+@main.command()
+@click.option("--scenario", "name", default="calm", metavar="NAME|FILE", show_default=True,
+              help="A built-in scenario, or a TOML file.")
+@click.option("--doors", type=click.IntRange(1, 16), default=None, help="In place of the scenario's.")
+@click.option("--seconds", type=click.FloatRange(0.5, 3600), default=None,
+              help="In place of the scenario's; its timeline moves along.")
+@click.option("--seed", type=click.IntRange(0), default=1, show_default=True,
+              help="The same seed draws the same day.")
+@click.option("--json", "out", type=click.Path(dir_okay=False, path_type=Path), default=None, metavar="FILE",
+              help="Also write the figures to a file; - for standard output in place of the tables.")
+@click.option("--deploy", "deploy_file", type=click.Path(dir_okay=False, path_type=Path), default=None,
+              metavar="FILE",
+              help="Whose run line starts the doors; else deploy/balancer.toml here or above.")
+@click.option("--list", "list_them", is_flag=True, help="List the built-in scenarios and end.")
+def demo(
+    name: str, doors: int | None, seconds: float | None, seed: int, out: Path | None,
+    deploy_file: Path | None, list_them: bool,
+) -> None:
+    """Play a day: stand-ins on loopback, real doors as processes, and the five rules judged.
+
+    Exit code 0 where the rules held, 1 where one broke, 2 where it could not run. Ctrl-C ends it early, with
+    what was measured until then.
+
+    Example: irisdeal demo --scenario hall-cut --doors 4 --seed 7
+    """
+    from irisdeal.demo.processes import CannotRun, find_deploy
+    from irisdeal.demo.report import as_json, show
+    from irisdeal.standins import scenario as scenarios
+    from irisdeal.standins.schedule import draw
+
+    console = Console(soft_wrap=False)
+    if list_them:
+        for known in scenarios.names():
+            console.print(f"[bold]{known:<18}[/] {scenarios.load(known).about}", highlight=False)
+        return
+    if out is not None and str(out) != "-" and not os.access(out.parent, os.W_OK):
+        raise Unusable(f"--json {out}: cannot be written")
+    try:
+        day = draw(scenarios.load(name).resized(doors, seconds), seed)
+        deploy = find_deploy(Path.cwd(), deploy_file)
+        outcome = _play(day, deploy, quiet=out is not None and str(out) == "-")
+    except (scenarios.ScenarioError, CannotRun, ValueError) as error:
+        raise Unusable(str(error)) from None
+    if out is not None:
+        text = json.dumps(as_json(outcome), indent=1)
+        if str(out) == "-":
+            click.echo(text)
+        else:
+            try:
+                out.write_text(text + "\n", "utf-8")
+            except OSError as error:
+                raise Unusable(f"--json {out}: {error.strerror}") from None
+    if out is None or str(out) != "-":
+        show(outcome, console)
+    sys.exit(0 if outcome.kept else 1)
+
+
+def _play(day: Day, deploy: Deploy, quiet: bool) -> Outcome:
+    """Play with a progress bar on standard error; Ctrl-C and SIGTERM end it in good order, twice at once."""
+    import uvloop
+
+    from irisdeal.demo.run import play
+
+    def started(pids: list[int]) -> None:
+        if not quiet:
+            click.echo(f"{len(pids)} doors are ready: processes {', '.join(map(str, pids))}", err=True)
+
+    async def run() -> Outcome:
+        loop, stop = asyncio.get_running_loop(), asyncio.Event()
+        task = asyncio.current_task()
+
+        def interrupted() -> None:
+            if stop.is_set() and task is not None:
+                task.cancel()  # asked twice: no good order any more
+            stop.set()
+
+        for number in (signal.SIGINT, signal.SIGTERM):
+            loop.add_signal_handler(number, interrupted)
+        console = Console(stderr=True)
+        with Progress(TextColumn("{task.description}"), BarColumn(), TextColumn("{task.completed:.0f} of "
+                      "{task.total:.0f} s"), TimeElapsedColumn(), console=console, disable=quiet,
+                      transient=True) as bar:
+            shown = bar.add_task(day.scenario.name, total=day.scenario.seconds)
+            return await play(day, deploy, lambda s: bar.update(shown, completed=s), stop, started)
+
+    try:
+        return uvloop.run(run())
+    except asyncio.CancelledError:
+        raise Unusable("interrupted twice: ended at once, nothing is told") from None
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/irisdeal/demo/run.py
@@ -0,0 +1,91 @@
+"""One demo: stand-ins, doors, the day, and what came of it."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from irisdeal.demo.processes import Deploy, DoorProcesses, Use, build, make_folder
+from irisdeal.standins.audit import Verdict, audit
+from irisdeal.standins.books import Books
+from irisdeal.standins.platform import Platform
+from irisdeal.standins.schedule import Day
+from irisdeal.standins.service import Service, reckon
+from irisdeal.standins.terminals import Terminals
+
+SETTLE = 0.3  # s after the last answer: what a door still sends shows
+PROGRESS = 0.2  # s between two words on how far it is
+
+
+@dataclass(slots=True)
+class Outcome:
+    """What one run showed. `interrupted` is s from the start, None for a whole day."""
+
+    day: Day
+    books: Books
+    verdict: Verdict
+    service: Service
+    uses: list[Use]
+    own_cpu: int  # µs of this process: all stand-ins
+    start: int
+    crashes: list[str] = field(default_factory=list)
+    interrupted: float | None = None
+    keeper_calls: int = 0
+
+    @property
+    def kept(self) -> bool:
+        return self.verdict.kept and not self.crashes
+
+
+async def play(
+    day: Day, deploy: Deploy, progress: Callable[[float], None] = lambda _: None,
+    interrupted: asyncio.Event | None = None, started: Callable[[list[int]], None] = lambda _: None,
+) -> Outcome:
+    """Play a day with real doors. Ends early, in good order, once `interrupted` is set.
+
+    `progress` hears the seconds played, `started` the doors' process ids once all are ready.
+
+    Raises `CannotRun` where the doors cannot be built or started. Whatever happens, every process that was
+    started here has ended on return.
+    """
+    stop = interrupted or asyncio.Event()
+    await build(deploy)
+    platform = Platform(day)
+    await platform.start()
+    with make_folder() as folder:
+        doors = DoorProcesses(platform, deploy, Path(folder), day.seed)
+        terminals = Terminals(day, platform.books, platform.now, doors.addresses)
+        doors.terminals = terminals
+        cut: float | None = None
+        try:
+            await doors.start()
+            started([life.pid for life in platform.books.doors])
+            before = os.times()
+            start = platform.now() + 50_000
+            platform.play(start, doors)
+            running = asyncio.get_running_loop().create_task(terminals.run(start))
+            waiting = asyncio.get_running_loop().create_task(stop.wait())
+            while not running.done():
+                await asyncio.wait({running, waiting}, timeout=PROGRESS, return_when=asyncio.FIRST_COMPLETED)
+                seconds = (platform.now() - start) / 1e6
+                progress(max(0.0, min(seconds, day.scenario.seconds)))
+                if waiting.done() and cut is None:
+                    cut = max(0.0, seconds)
+                    terminals.stop()
+            waiting.cancel()
+            await running
+            await asyncio.sleep(SETTLE)
+            after = os.times()
+            await doors.stop()
+        finally:
+            doors.kill_all()
+            terminals.close()
+            platform.close()
+    scenario = day.scenario if cut is None else day.scenario.resized(seconds=max(0.5, cut))
+    own = round((after.user + after.system - before.user - before.system) * 1e6)
+    return Outcome(
+        day, platform.books, audit(platform.books, platform.figures), reckon(platform.books, scenario, start),
+        [doors.use(d) for d in platform.doors], own, start, doors.crashes, cut, platform.keeper.calls)
--- a/irisdeal/door/loop.py
+++ b/irisdeal/door/loop.py
@@ -92,6 +92,8 @@
     def _turn(self) -> None:
         events, self.events = self.events, Batch()
         self.scheduled = False
+        if not events:  # another turn took them
+            return
         try:
             actions = self.decider.handle(self.clock.now(), events)
         except Exception:
@@ -161,6 +163,11 @@
     def _overdue(self, number: int) -> None:
         """The module has let a request's time pass: it is still owed an answer."""
         request = self.requests.get(number)
+        if request is not None and not request.final:
+            # Where the loop stood still, the module's own wake is due as well and comes a turn behind this:
+            # it is asked first, since it knows whether a refusal may be promised.
+            self.events.append(Woken(0))
+            self._turn()
         if request is not None and not request.final:
             log.error("request %d was left unanswered", number)
             self._leave(number, lambda client: client.reply(500, b"failed\n"))
--- /dev/null
+++ b/irisdeal/standins/books.py
@@ -0,0 +1,173 @@
+"""The books that the stand-ins keep, and that the audit reads.
+
+All times are whole microseconds of Unix time from one clock (`Clock`), so that books of one run can be laid
+side by side. A record is written by the stand-in that saw the fact with its own eyes: nothing here comes from
+what a front door says of itself.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+
+SECOND = 1_000_000  # µs
+
+Now = Callable[[], int]
+
+
+def door_name(door: int) -> str:
+    """How links and holds name a door."""
+    return f"door {door}"
+
+
+class Clock:
+    """Whole microseconds that never go back and agreed with Unix time at the start."""
+
+    def __init__(self) -> None:
+        self._offset = time.time_ns() - time.monotonic_ns()
+
+    def __call__(self) -> int:
+        return (time.monotonic_ns() + self._offset) // 1000
+
+
+class End(Enum):
+    """How an attempt ended at its box."""
+
+    OPEN = "still out"
+    SERVED = "served"
+    ERROR = "error"
+    TURNED_AWAY = "turned away"  # with X-Never-Ran: the door was told that it never ran
+    BROKEN = "connection ended"  # while the attempt was out
+    SPOILT = "spoilt answer"
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One attempt that came whole to a box. `ran` turns true when work on it begins."""
+
+    trace: str
+    key: str
+    kind: str
+    plan: str
+    customer: int
+    units: float
+    door: int
+    box: str
+    hall: str
+    life: int  # which start of the box, from 0
+    connection: int
+    first_byte: int  # µs
+    last_byte: int  # µs
+    work: int  # µs of one core at speed 1, handshake included
+    ran: bool = False
+    effect: bool = False  # the work was done here and now, not remembered from an earlier repeat
+    end: End = End.OPEN
+    ended: int = 0  # µs; when its answer was written, or its connection ended
+    body: bytes = b""  # of a served answer
+
+
+@dataclass(slots=True)
+class Answer:
+    """What came back on a client's connection for one try."""
+
+    at: int  # µs, of the last byte
+    status: int
+    body: bytes
+    retry_after: float | None = None  # s
+
+
+@dataclass(slots=True)
+class Taken:
+    """One try of a client at one door. It is taken from `at` on; 0 where no connection came up."""
+
+    trace: str
+    ask: int  # the first try and its retries share this number
+    attempt: int  # 0 for the first try
+    key: str
+    kind: str
+    plan: str
+    customer: int
+    units: float
+    door: int
+    due: int  # µs, when the client wanted to send it
+    wait: int  # µs that the client waits, from `at`
+    at: int = 0
+    answers: list[Answer] = field(default_factory=list)
+    cut: int = 0  # µs, when its connection ended with no whole answer
+    stray: int = 0  # bytes that belong to no answer
+    crossed: bool = False  # a kept connection closed under it before the door can have read it
+    gave_up: int = 0  # µs
+
+
+@dataclass(frozen=True, slots=True)
+class Told:
+    """One line of the list as a door was told it."""
+
+    door: int
+    at: int  # µs, when the agent wrote it, or must be taken to have
+    box: str
+    phase: str  # Ready, Terminating or Gone
+    started: int  # µs
+
+
+@dataclass(frozen=True, slots=True)
+class Life:
+    """One start of a box: what it can do, in seconds of work a second."""
+
+    box: str
+    hall: str
+    life: int
+    at: int  # µs; 0 for long ago
+    capacity: float  # core seconds a second once warm
+    cold_from: float  # share of it at the start
+    cold: int  # µs until warm
+
+    def now(self, at: int) -> float:
+        """Its capacity at a time, in core seconds a second (BENCH, The world: rises about evenly)."""
+        if not self.at or self.cold <= 0:
+            return self.capacity
+        share = min(1.0, max(0.0, (at - self.at) / self.cold))
+        return self.capacity * (self.cold_from + (1.0 - self.cold_from) * share)
+
+
+@dataclass(slots=True)
+class DoorLife:
+    """One process of a door, as the one who started it saw it."""
+
+    door: int
+    pid: int
+    started: int  # µs
+    ready: int = 0
+    terminated: int = 0  # SIGTERM
+    killed: int = 0  # SIGKILL
+    ended: int = 0
+    code: int | None = None  # exit code; negative for a signal
+    log: str = ""
+
+
+@dataclass(slots=True)
+class Hold:
+    """A time in which a link kept what was sent through it: a fault of ours, and no door's lateness."""
+
+    source: str
+    target: str
+    start: int  # µs
+    end: int = 0  # µs; 0 while it lasts
+    late: int = 0  # µs that each byte was kept; 0: until the end
+
+
+@dataclass(slots=True)
+class Books:
+    """All books of one run."""
+
+    attempts: list[Attempt] = field(default_factory=list)
+    taken: list[Taken] = field(default_factory=list)
+    told: list[Told] = field(default_factory=list)
+    lives: list[Life] = field(default_factory=list)
+    fallen: list[tuple[str, int, int]] = field(default_factory=list)  # box, life, µs
+    doors: list[DoorLife] = field(default_factory=list)
+    holds: list[Hold] = field(default_factory=list)
+    faults: list[tuple[int, str]] = field(default_factory=list)  # µs and words, as they came
+    lateness: int = 0  # µs, the most by which the stand-ins' own loop ran late
--- /dev/null
+++ b/irisdeal/standins/box.py
@@ -0,0 +1,256 @@
+"""A box (backend) on loopback sockets: PROTOCOL, Front doors to backends, round `BoxModel`.
+
+Each door has an address of its own to reach it by, so that its book can tell the doors apart without asking
+them. Every attempt that came whole is in `books.attempts`, from its first byte to its end.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from dataclasses import replace
+from functools import partial
+from typing import cast
+
+from irisdeal.standins.audit import Figures
+from irisdeal.standins.books import Attempt, Books, End, Life, Now
+from irisdeal.standins.boxmodel import BoxModel, Done, HallMemory, Job, Meter, Report, Verdict
+from irisdeal.standins.http import Request, ServerConnection
+from irisdeal.standins.scenario import Class, Fleet
+from irisdeal.standins.schedule import Machine, stream, work
+
+SPOILT = (  # what a spoilt answer looks like; the request has run, and no more can come of it
+    b"\x00\xff noise without a line\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\nContent-Length: 99\r\n\r\nshort",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 400\r\n\r\nhalf an answer",
+)
+
+
+class Box:
+    """One backend. `listen` opens its addresses, `crash` and `start` are its restarts."""
+
+    def __init__(
+        self, name: str, machine: Machine, fleet: Fleet, classes: tuple[Class, ...], figures: Figures,
+        books: Books, now: Now, seed: int, memory: HallMemory, meter: Meter, door_halls: tuple[str, ...] = (),
+    ) -> None:
+        self.name, self.machine, self.fleet, self.figures = name, machine, fleet, figures
+        self.books, self.now, self.seed, self.memory, self.meter = books, now, seed, memory, meter
+        self.classes = {c.name: c for c in classes}
+        self.door_halls = door_halls
+        self.random: random.Random = stream(seed, "box", name)
+        self.ports: dict[int, int] = {}  # by door, kept over restarts
+        self.servers: list[asyncio.Server] = []
+        self.connections: set[ServerConnection] = set()
+        self.lives = self.opened_count = 0
+        self.spoil = 0.0  # share of answers that come spoilt
+        self.up = self.fell = False
+        self.model: BoxModel = BoxModel(machine, figures, Life(name, machine.hall, 0, 0, 1.0, 1.0, 0))
+        self.told = Report()
+        self.report_since = 0
+        self.timer: asyncio.TimerHandle | None = None
+        self.timer_at = 0
+        self.ticks: asyncio.TimerHandle | None = None
+
+    # Its life
+
+    async def start(self, doors: range, cold: bool = False) -> None:
+        """Come up, at the same addresses as before; `cold` where it starts now and not long ago."""
+        loop = asyncio.get_running_loop()
+        self.life = Life(
+            self.name, self.machine.hall, self.lives, self.now() if cold else 0, self.machine.capacity,
+            self.machine.cold_from, self.machine.cold)
+        self.books.lives.append(self.life)
+        self.model = BoxModel(self.machine, self.figures, self.life, now=self.now())
+        for door in doors:
+            server = await loop.create_server(
+                partial(self._connection, door), "127.0.0.1", self.ports.get(door, 0))
+            self.ports[door] = int(server.sockets[0].getsockname()[1])
+            self.servers.append(server)
+        self.up, self.fell = True, False
+        self.told, self.report_since = Report(), self.now()
+        self.ticks = loop.call_later(self.fleet.report_every_ms / 1000, self._tick)
+
+    def crash(self) -> None:
+        """The process dies: connections are reset, new ones refused, what it held is lost."""
+        self.up = False
+        self.lives += 1
+        for server in self.servers:
+            server.close()
+        self.servers.clear()
+        for handle in (self.timer, self.ticks):
+            if handle is not None:
+                handle.cancel()
+        self.timer = self.ticks = None
+        for connection in list(self.connections):
+            connection.abort()
+            self.closed(connection)
+
+    def reset_connections(self) -> None:
+        for connection in list(self.connections):
+            connection.abort()
+
+    def drain(self) -> None:
+        self.model.draining = True
+
+    def set_hung(self, hung: bool) -> None:
+        self._advance()
+        self.model.hung = hung
+        self._arm()
+
+    def set_slower(self, times: float) -> None:
+        self._advance()
+        self.model.slower = times
+        self._arm()
+
+    @property
+    def started(self) -> int:
+        """When it last started, µs; 0 for long ago."""
+        return self.life.at
+
+    # Connections
+
+    def _connection(self, door: int) -> ServerConnection:
+        self.opened_count += 1
+        return ServerConnection(self, door, self.opened_count)
+
+    def opened(self, connection: ServerConnection) -> None:
+        self.connections.add(connection)
+
+    def closed(self, connection: ServerConnection) -> None:
+        self.connections.discard(connection)
+        if isinstance(attempt := connection.context, Attempt) and attempt.end is End.OPEN:
+            attempt.end, attempt.ended = End.BROKEN, self.now()
+        connection.context = None
+
+    def asked(self, connection: ServerConnection, request: Request) -> None:
+        """A request came whole."""
+        headers = request.headers
+        trace, kind = headers.get("x-trace-id", ""), self.classes.get(headers.get("x-qos", ""))
+        if not trace:
+            connection.reply(404)
+            return
+        if kind is None:
+            connection.reply(400, b"unknown class\n")
+            return
+        took = work(self.seed, trace, kind)
+        if connection.requests == 1:
+            took += round(self.fleet.handshake_ms * 1000)  # a new connection costs work as a handshake would
+        quota = dict(part.partition("=")[::2] for part in headers.get("quota-info", "").split(","))
+        attempt = Attempt(
+            trace, headers.get("idempotency-key", ""), kind.name, headers.get("plan", ""),
+            int(headers.get("account", "0"), 16), float(quota.get("units", "1")), connection.door, self.name,
+            self.machine.hall, self.life.life, connection.number, request.first_byte, request.last_byte, took)
+        self.books.attempts.append(attempt)
+        self.meter.add(trace, attempt.plan, attempt.customer, attempt.units, request.last_byte)
+        connection.context = attempt
+        if len(self.connections) > self.fleet.connections_per_core * self.machine.cores:
+            return self._turn_away(connection, attempt, "too many connections", close=True)
+        self._advance()
+        job = Job(took, request.last_byte + _wait(headers.get("x-expires-in", "")), request.last_byte,
+                  tag=(connection, attempt))
+        verdict = self.model.arrive(job)
+        if verdict is Verdict.FALLEN:
+            self.fell = True
+            self.books.fallen.append((self.name, self.life.life, self.now()))
+            return self.crash()
+        if verdict is not Verdict.TAKEN:
+            return self._turn_away(connection, attempt, verdict.name.lower())
+        self._arm()
+
+    def _turn_away(
+        self, connection: ServerConnection, attempt: Attempt, why: str, close: bool = False,
+        status: int = 503,
+    ) -> None:
+        if attempt.end is End.OPEN:
+            attempt.end, attempt.ended = End.TURNED_AWAY, self.now()
+        connection.context = None
+        connection.reply(status, why.encode() + b"\n", "X-Never-Ran: 1\r\n" + self._figures(attempt), close)
+
+    # Work
+
+    def _advance(self) -> None:
+        for job, done in self.model.advance(max(self.now(), self.model.now)):
+            connection, attempt = cast(tuple[ServerConnection, Attempt], job.tag)
+            if done is Done.EXPIRED:
+                self._turn_away(connection, attempt, "overdue", status=504)
+            else:
+                self._answer(connection, attempt)
+
+    def _answer(self, connection: ServerConnection, attempt: Attempt) -> None:
+        attempt.ran = True
+        attempt.effect = not attempt.key or self.memory.first(attempt.key, self.now())
+        if attempt.end is not End.OPEN:
+            return  # its connection has ended; the work was done all the same
+        hall = self.door_halls[attempt.door] if attempt.door < len(self.door_halls) else self.machine.hall
+        way = self.fleet.same_ms if hall == self.machine.hall else self.fleet.cross_ms
+        asyncio.get_running_loop().call_later(2 * way / 1000, self._write, connection, attempt)
+
+    def _write(self, connection: ServerConnection, attempt: Attempt) -> None:
+        if attempt.end is not End.OPEN or connection.context is not attempt:
+            return
+        attempt.ended, connection.context = self.now(), None
+        drawn = self.random.random()
+        if drawn < self.machine.error_rate:
+            attempt.end = End.ERROR
+            connection.reply(500, b"error\n", self._figures(attempt))
+        elif drawn < self.machine.error_rate + self.spoil:
+            attempt.end = End.SPOILT
+            connection.raw(self.random.choice(SPOILT))
+        else:
+            attempt.end = End.SERVED
+            attempt.body = json.dumps(
+                {"id": attempt.trace, "box": self.name, "repeat": not attempt.effect}).encode()
+            connection.reply(200, attempt.body, "Content-Type: application/json\r\n" + self._figures(attempt))
+
+    def _figures(self, attempt: Attempt) -> str:
+        """The load report and the meter's figure, as header lines."""
+        use = self.meter.percent(attempt.plan, attempt.customer, self.now())
+        told = self.told
+        return (f"Usage-Percent: {use}\r\nEndpoint-Load-Metrics: TEXT latency_ms={told.latency_ms:.1f}, "
+                f"util={told.util:.3f}, queue={told.queue}\r\n")
+
+    def _arm(self) -> None:
+        """Wake when the next job may end."""
+        due = self.model.next_end()
+        if due is None or not self.up:
+            return
+        if self.timer is not None:
+            if self.timer_at <= due:
+                return
+            self.timer.cancel()
+        self.timer_at = due
+        # The loop counts whole milliseconds; what is due is taken on waking, up to one late.
+        self.timer = asyncio.get_running_loop().call_later(max(0, due - self.now()) / 1e6, self._woken)
+
+    def _woken(self) -> None:
+        self.timer = None
+        self._advance()
+        self._arm()
+
+    def _tick(self) -> None:
+        """A load report is refreshed now and then, and told late; idle connections end."""
+        loop = asyncio.get_running_loop()
+        self.ticks = loop.call_later(self.fleet.report_every_ms / 1000, self._tick)
+        self._advance()
+        self._arm()
+        report = self.model.report(self.report_since)
+        self.report_since = self.now()
+        noise = max(0.0, self.random.gauss(1.0, self.fleet.report_noise))
+        report = replace(report, latency_ms=report.latency_ms * noise, util=min(1.0, report.util * noise))
+        loop.call_later(self.fleet.report_late_ms / 1000, self._tell, report)
+        oldest = self.now() - round(self.fleet.idle_s * 1e6)
+        for connection in [c for c in self.connections if not c.busy and c.since < oldest]:
+            connection.abort()
+
+    def _tell(self, report: Report) -> None:
+        self.told = report
+
+
+def _wait(text: str) -> int:
+    """`X-Expires-In` in µs; an hour where it is missing or malformed."""
+    unit = {"m": 1000, "u": 1}.get(text[-1:])
+    try:
+        return round(float(text[:-1]) * unit) if unit else 3_600_000_000
+    except ValueError:
+        return 3_600_000_000
--- /dev/null
+++ b/irisdeal/standins/boxmodel.py
@@ -0,0 +1,218 @@
+"""What one box does with the work it is given. Pure: time comes as an argument, in µs.
+
+The rules that everything here obeys (BENCH, The world; PROTOCOL, Front doors to backends):
+
+1. A box has cores, slots for requests in work, and a waiting room; what comes when both are full is turned
+   away unseen, as is what comes while it drains.
+2. Requests in work share the cores evenly (processor sharing); none goes faster than one core.
+3. A box that starts is cold: its capacity rises evenly from the cold share to the full. All work that reaches
+   it while cold, rejected work too, counts against its budget; over that it falls over and stays down.
+4. A cancel or a time-out stops nothing; what waits and is overdue when its turn comes is turned away.
+5. Hung, it takes requests and ends none; slots and waiting room fill.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections import deque
+from dataclasses import dataclass, field
+from enum import Enum, auto
+
+from irisdeal.standins.audit import Figures, over_budget
+from irisdeal.standins.books import Life
+from irisdeal.standins.schedule import Machine
+
+COLD_STEP = 50_000  # µs: how often the speed of a cold box is taken anew between events
+MOST_JOBS = 4_096  # in work and waiting; slots and queue are far fewer
+
+
+class Verdict(Enum):
+    """What becomes of a request as it comes."""
+
+    TAKEN = auto()
+    FULL = auto()
+    DRAINING = auto()
+    FALLEN = auto()  # with this one it fell over
+
+
+class Done(Enum):
+    SERVED = auto()
+    EXPIRED = auto()  # overdue when its turn came: never ran
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    """One request at a box. `work` is µs of one core at speed 1; `deadline` µs."""
+
+    work: int
+    deadline: int
+    arrived: int
+    began: int = 0
+    tag: object = None
+
+
+@dataclass(slots=True)
+class Report:
+    """A load report as a box makes it: recent service time in ms, share of its cores busy, how many wait."""
+
+    latency_ms: float = 0.0
+    util: float = 0.0
+    queue: int = 0
+
+
+@dataclass(slots=True)
+class BoxModel:
+    """One life of a box."""
+
+    machine: Machine
+    figures: Figures
+    life: Life
+    draining: bool = False
+    hung: bool = False
+    slower: float = 1.0  # times slower than drawn
+    fallen_at: int = 0
+    running: list[tuple[float, int, Job]] = field(default_factory=list)  # by the progress at which each ends
+    waiting: deque[Job] = field(default_factory=deque)
+    now: int = 0
+    progress: float = 0.0  # µs of work at speed 1 that each running job has got since the start
+    count: int = 0
+    sent: list[tuple[int, int]] = field(default_factory=list)  # time and work, while cold
+    busy: float = 0.0  # µs of cores in use since the last report
+    recent_ms: float = 0.0
+
+    def rate(self) -> float:
+        """µs of work at speed 1 that each running job gets in a µs."""
+        if self.hung or not self.running:
+            return 0.0
+        warmth = self.life.now(self.now) / self.life.capacity
+        return self.machine.speed / self.slower * warmth * min(1.0, self.machine.cores / len(self.running))
+
+    def advance(self, now: int) -> list[tuple[Job, Done]]:
+        """Everything that ends by `now`, in order."""
+        done: list[tuple[Job, Done]] = []
+        while self.now < now:
+            rate = self.rate()
+            step = now - self.now
+            if self.life.at and self.now < self.life.at + self.life.cold:
+                step = min(step, COLD_STEP)
+            if rate > 0.0:
+                needed = (self.running[0][0] - self.progress) / rate
+                step = min(step, max(1, round(needed + 0.5)))
+            if not self.hung:
+                self.busy += min(len(self.running), self.machine.cores) * step
+            self.progress += rate * step
+            self.now += step
+            while self.running and self.running[0][0] <= self.progress + 1e-6 and not self.hung:
+                job = heapq.heappop(self.running)[2]
+                took = (self.now - job.began) / 1000
+                self.recent_ms += (0.1 if self.recent_ms else 1.0) * (took - self.recent_ms)
+                done.append((job, Done.SERVED))
+                done += self._fill()
+        return done
+
+    def _fill(self) -> list[tuple[Job, Done]]:
+        expired: list[tuple[Job, Done]] = []
+        while self.waiting and len(self.running) < self.machine.slots:
+            job = self.waiting.popleft()
+            if job.deadline < self.now:
+                expired.append((job, Done.EXPIRED))
+            else:
+                self._begin(job)
+        return expired
+
+    def _begin(self, job: Job) -> None:
+        job.began = self.now
+        self.count += 1
+        if not self.running:
+            self.progress = 0.0  # no sum of floats grows all day
+        heapq.heappush(self.running, (self.progress + job.work, self.count, job))
+
+    def arrive(self, job: Job) -> Verdict:
+        """A request comes, now; call `advance` first."""
+        if self.life.at and self.now < self.life.at + self.life.cold:
+            self.sent.append((self.now, job.work))
+            while self.sent[0][0] <= self.now - self.figures.fall_window:
+                self.sent.pop(0)
+            if over_budget(self.sent, self.life, self.figures) is not None:
+                self.fallen_at = self.now
+                return Verdict.FALLEN
+        if self.draining:
+            return Verdict.DRAINING
+        if len(self.running) < self.machine.slots:
+            self._begin(job)
+        elif len(self.waiting) < min(self.machine.queue, MOST_JOBS):
+            self.waiting.append(job)
+        else:
+            return Verdict.FULL
+        return Verdict.TAKEN
+
+    def next_end(self) -> int | None:
+        """When something may end next, µs; None while nothing can."""
+        rate = self.rate()
+        if rate <= 0.0:
+            return None
+        return self.now + max(1, round((self.running[0][0] - self.progress) / rate + 0.5))
+
+    def report(self, since: int) -> Report:
+        """What it says of itself for the time since the last report, which began at `since` (µs)."""
+        span = max(1, self.now - since)
+        util = min(1.0, self.busy / (span * self.machine.cores))
+        self.busy = 0.0
+        return Report(self.recent_ms, util, len(self.waiting))
+
+
+@dataclass(slots=True)
+class HallMemory:
+    """One hall's memory of keys: a repeat within the window is answered and has no effect again (BRIEF 12).
+
+    `window` in µs. The time counts from the first attempt of a key; what is older is forgotten.
+    """
+
+    window: int
+    seen: dict[str, int] = field(default_factory=dict)  # in the order of their first time
+
+    def first(self, key: str, now: int) -> bool:
+        """Whether this is the first attempt with the key that the hall remembers."""
+        while self.seen:
+            oldest = next(iter(self.seen))
+            if self.seen[oldest] > now - self.window:
+                break
+            del self.seen[oldest]
+        if key in self.seen:
+            return False
+        self.seen[key] = now
+        return True
+
+
+@dataclass(slots=True)
+class Meter:
+    """The use of each store over all boxes, in percent of its rate, told late (PROTOCOL, `Usage-Percent`).
+
+    `period` and `late` in µs; `rates` gives units a second by plan.
+    """
+
+    period: int
+    late: int
+    rates: dict[str, float]
+    sums: dict[int, dict[tuple[str, int], float]] = field(default_factory=dict)  # by number of the period
+    counted: dict[str, int] = field(default_factory=dict)  # traces of the last periods
+
+    def add(self, trace: str, plan: str, customer: int, units: float, now: int) -> None:
+        """A try came to a box; its further attempts add nothing."""
+        number = now // self.period
+        if trace in self.counted:
+            return
+        self.counted[trace] = number
+        period = self.sums.setdefault(number, {})
+        period[plan, customer] = period.get((plan, customer), 0.0) + units
+        for old in [n for n in self.sums if n < number - 2 - self.late // self.period]:
+            del self.sums[old]
+        while self.counted[first := next(iter(self.counted))] < number - 10:
+            del self.counted[first]
+
+    def percent(self, plan: str, customer: int, now: int) -> int:
+        """Percent of the rate used in the last finished period that has been added up."""
+        number = (now - self.late) // self.period - 1
+        used = self.sums.get(number, {}).get((plan, customer), 0.0)
+        rate = self.rates.get(plan, 0.0)
+        return round(100 * used / (rate * self.period / 1e6)) if rate else 0
--- /dev/null
+++ b/irisdeal/standins/http.py
@@ -0,0 +1,176 @@
+"""HTTP/1.1 as the stand-ins speak it: a small server side and a small client side on `httptools`.
+
+Neither imports anything of the door: the two must not share a mistake.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from typing import Protocol, cast
+
+import httptools
+
+REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 500: "Internal Server Error",
+           503: "Service Unavailable", 504: "Gateway Timeout"}
+MOST_MESSAGE = 8_000_000  # bytes of a body, either way
+
+
+class Request:
+    """A request as it came. Header names are lower case; times are the owner's clock in µs."""
+
+    __slots__ = ("body", "first_byte", "headers", "last_byte", "method", "target")
+
+    def __init__(self, first_byte: int) -> None:
+        self.first_byte, self.last_byte = first_byte, 0
+        self.method, self.target = "", ""
+        self.headers: dict[str, str] = {}
+        self.body = b""
+
+
+class Owner(Protocol):
+    """What a server connection needs of the server it belongs to."""
+
+    def now(self) -> int: ...
+
+    def opened(self, connection: ServerConnection) -> None: ...
+
+    def asked(self, connection: ServerConnection, request: Request) -> None: ...
+
+    def closed(self, connection: ServerConnection) -> None: ...
+
+
+class ServerConnection(asyncio.Protocol):
+    """One accepted connection. It takes one request at a time; the rest waits in the peer."""
+
+    def __init__(self, owner: Owner, door: int, number: int) -> None:
+        self.owner, self.door, self.number = owner, door, number
+        self.transport: asyncio.Transport | None = None
+        self.parser = httptools.HttpRequestParser(self)
+        self.request: Request | None = None
+        self.busy = False
+        self.requests = 0
+        self.since = 0  # of its last change between idle and busy
+        self.context: object = None  # the owner's
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.since = self.owner.now()
+        self.owner.opened(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = None
+        self.owner.closed(self)
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self.abort()
+
+    def on_message_begin(self) -> None:
+        self.request = Request(self.owner.now())
+
+    def on_url(self, url: bytes) -> None:
+        assert self.request is not None
+        self.request.target += url.decode("latin-1")
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        assert self.request is not None
+        self.request.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
+    def on_body(self, body: bytes) -> None:
+        assert self.request is not None
+        self.request.body += body
+        if len(self.request.body) > MOST_MESSAGE:
+            raise ValueError("body too long")
+
+    def on_message_complete(self) -> None:
+        request, self.request = self.request, None
+        assert request is not None
+        request.method = self.parser.get_method().decode("latin-1")
+        request.last_byte = self.since = self.owner.now()
+        self.busy = True
+        self.requests += 1
+        self.owner.asked(self, request)
+
+    def reply(self, status: int, body: bytes = b"", headers: str = "", close: bool = False) -> bool:
+        """Write a whole answer; False where the connection has gone."""
+        if self.transport is None or self.transport.is_closing():
+            return False
+        self.busy, self.since = False, self.owner.now()
+        end = "Connection: close\r\n" if close else ""
+        self.transport.write(
+            f"HTTP/1.1 {status} {REASONS.get(status, 'Other')}\r\nContent-Length: {len(body)}\r\n"
+            f"{headers}{end}\r\n".encode() + body)
+        if close:
+            self.transport.close()
+        return True
+
+    def raw(self, data: bytes) -> None:
+        if self.transport is not None:
+            self.transport.write(data)
+
+    def abort(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+
+class ClientConnection(asyncio.Protocol):
+    """One connection of a terminal. Answers go to `on_answer(status, headers, body)` as they come whole."""
+
+    def __init__(self) -> None:
+        self.transport: asyncio.Transport | None = None
+        self.parser = httptools.HttpResponseParser(self)
+        self.on_answer: Callable[[int, dict[str, str], bytes], None] = lambda *_: None
+        self.on_end: Callable[[], None] = lambda: None
+        self.headers: dict[str, str] = {}
+        self.parts: deque[bytes] = deque()
+        self.heard = 0  # bytes since the last request
+        self.uses = 0
+        self.reusable = True
+        self.broken = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = None
+        self.on_end()
+
+    def usable(self) -> bool:
+        return self.transport is not None and not self.transport.is_closing() and self.reusable
+
+    def write(self, data: bytes) -> None:
+        assert self.transport is not None
+        self.heard = 0
+        self.uses += 1
+        self.transport.write(data)
+
+    def close(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+    def data_received(self, data: bytes) -> None:
+        self.heard += len(data)
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self.broken = True
+            self.close()
+
+    def on_message_begin(self) -> None:
+        self.headers, self.parts = {}, deque()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
+    def on_body(self, body: bytes) -> None:
+        self.parts.append(body)
+
+    def on_message_complete(self) -> None:
+        status = self.parser.get_status_code()
+        if status >= 200:
+            self.reusable = self.parser.should_keep_alive()
+            self.on_answer(status, self.headers, b"".join(self.parts))
--- /dev/null
+++ b/irisdeal/standins/keeper.py
@@ -0,0 +1,235 @@
+"""The count keeper: PROTOCOL, The counter, whole, with the faults that it has had.
+
+`KeeperModel` is the pure part (names, lives, the parts' lines); `Keeper` puts it on sockets. Each door has an
+address of its own, so that the book can tell who added what.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import random
+import re
+import zlib
+from collections import defaultdict
+from dataclasses import dataclass, field
+from functools import partial
+from typing import cast
+
+from irisdeal.standins.books import Now
+from irisdeal.standins.scenario import KeeperSpec
+from irisdeal.standins.schedule import stream
+
+MOST_LIFE = 60_000_000  # µs; PROTOCOL, The counter
+MOST_AMOUNT = 1e9
+MOST_CONNECTIONS = 32  # of a front door
+IDLE = 10.0  # s
+MOST_LINE = 256
+AMOUNT = re.compile(r"-?[0-9]{1,20}(\.[0-9]{1,20})?([eE][+-]?[0-9]{1,3})?")
+
+
+@dataclass(slots=True)
+class KeeperModel:
+    """Named counts on a few parts that serve calls in turn. Times in µs."""
+
+    spec: KeeperSpec
+    counts: dict[str, tuple[float, int]] = field(default_factory=dict)  # total, and when it is forgotten
+    free_at: dict[int, int] = field(default_factory=dict)  # by part: when its line is empty
+    slower: float = 1.0
+    swept: int = 0
+
+    def part(self, name: str) -> int:
+        return zlib.crc32(name.encode()) % self.spec.parts
+
+    def serve(self, name: str, now: int) -> int | None:
+        """When a call that comes now is served; None where the part's line is too long (`busy`)."""
+        part = self.part(name)
+        begins = max(now, self.free_at.get(part, 0))
+        if begins - now > self.spec.queue_ms * 1000:
+            return None
+        each = 1e6 * self.spec.parts / self.spec.calls_per_s * self.slower
+        self.free_at[part] = begins + round(each)
+        return begins + round(each + self.spec.call_ms * 1000)
+
+    def add(self, name: str, amount: float, life: int, now: int) -> float:
+        """Add, and return the total. A new name starts at 0 and is forgotten after `life` (µs)."""
+        self._sweep(now)
+        total, until = self.counts.get(name, (0.0, 0))
+        if until <= now:
+            total, until = 0.0, now + min(life, MOST_LIFE)
+        total = float(f"{total + amount:.7g}")  # seven digits of a total are exact
+        self.counts[name] = (total, until)
+        return total
+
+    def _sweep(self, now: int) -> None:
+        """Once a second the names whose life is over go: their number stays that of a minute's names."""
+        if now - self.swept > 1_000_000:
+            self.swept = now
+            self.counts = {name: kept for name, kept in self.counts.items() if kept[1] > now}
+
+    def flush(self, share: float, rng: random.Random) -> int:
+        """Forget that share of the names; how many went."""
+        names = sorted(self.counts)
+        lost = rng.sample(names, round(share * len(names)))
+        for name in lost:
+            del self.counts[name]
+        return len(lost)
+
+
+class _Line(asyncio.Protocol):
+    """One connection of a door. Calls are answered in their order."""
+
+    def __init__(self, keeper: Keeper, door: int) -> None:
+        self.keeper, self.door = keeper, door
+        self.transport: asyncio.Transport | None = None
+        self.rest = b""
+        self.after = 0  # µs: no answer goes before the one ahead of it
+        self.idle: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        if len(self.keeper.lines[self.door]) >= MOST_CONNECTIONS:
+            self.transport.abort()
+            return
+        self.keeper.lines[self.door].add(self)
+        self._rest()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = None
+        self.keeper.lines[self.door].discard(self)
+        if self.idle is not None:
+            self.idle.cancel()
+
+    def _rest(self) -> None:
+        if self.idle is not None:
+            self.idle.cancel()
+        self.idle = asyncio.get_running_loop().call_later(IDLE, self.close)
+
+    def close(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+    def data_received(self, data: bytes) -> None:
+        self._rest()
+        *lines, self.rest = (self.rest + data).split(b"\n")
+        for line in lines:
+            self.keeper.call(self, line.rstrip(b"\r"))
+        if len(self.rest) > MOST_LINE:
+            self.close()
+
+    def answer(self, due: int, text: bytes) -> None:
+        """Write at `due` (µs), but not before what is ahead."""
+        self.after = max(self.after, due)
+        wait = max(0, self.after - self.keeper.now()) / 1e6
+        asyncio.get_running_loop().call_later(wait, self._write, text)
+
+    def _write(self, text: bytes) -> None:
+        if self.transport is None:
+            self.keeper.late += 1  # its caller has gone; the amount was added all the same
+        else:
+            self.transport.write(text)
+
+
+class Keeper:
+    """The keeper on sockets, with an address for each door, and its faults as attributes and calls."""
+
+    def __init__(self, spec: KeeperSpec, now: Now, seed: int) -> None:
+        self.now, self.model = now, KeeperModel(spec)
+        self.random = stream(seed, "keeper")
+        self.lines: defaultdict[int, set[_Line]] = defaultdict(set)
+        self.ports: dict[int, int] = {}
+        self.servers: dict[int, asyncio.Server] = {}
+        self.silent = False
+        self.spoil = 0.0  # share of answers that come spoilt
+        # Its book: calls, calls turned away, calls that got no answer, answers whose caller had gone,
+        # and what each door added, by name.
+        self.calls = self.busy = self.unanswered = self.late = 0
+        self.added: defaultdict[tuple[int, str], float] = defaultdict(float)
+        self.keep_adds = False  # the sums by name grow all day: only tests that read them ask for it
+
+    async def start(self, doors: range) -> None:
+        loop = asyncio.get_running_loop()
+        for door in doors:
+            if door not in self.servers:
+                server = await loop.create_server(
+                    partial(_Line, self, door), "127.0.0.1", self.ports.get(door, 0))
+                self.servers[door] = server
+                self.ports[door] = int(server.sockets[0].getsockname()[1])
+
+    def refuse(self) -> None:
+        """The process is gone: connections are reset, new ones refused."""
+        for server in self.servers.values():
+            server.close()
+        self.servers.clear()
+        for line in [line for lines in self.lines.values() for line in lines]:
+            line.close()
+
+    async def restart(self, doors: range, empty: bool) -> None:
+        """Back at the same addresses, with its counts or with none."""
+        if empty:
+            self.model.counts.clear()
+        await self.start(doors)
+
+    async def move(self, doors: range, patience: float = 1.5) -> None:
+        """New addresses; the old ones take no new connection and close the open ones after `patience` s.
+
+        (LATER, New configurations and restarts.)
+        """
+        for server in self.servers.values():
+            server.close()
+        self.servers.clear()
+        self.ports.clear()
+        old = [line for lines in self.lines.values() for line in lines]
+        await self.start(doors)
+        loop = asyncio.get_running_loop()
+        for line in old:
+            loop.call_later(patience, line.close)
+
+    def flush(self, share: float) -> int:
+        return self.model.flush(share, self.random)
+
+    def close(self) -> None:
+        self.refuse()
+
+    def call(self, line: _Line, text: bytes) -> None:
+        """One line of a door."""
+        now = self.now()
+        if text == b"ping":
+            if not self.silent:
+                line.answer(now, b"pong\r\n")
+            return
+        call = read_call(text)
+        if call is None:
+            if not self.silent:
+                line.answer(now, b"error\r\n")
+            return
+        self.calls += 1
+        if self.silent:
+            self.unanswered += 1
+            return
+        name, amount, life = call
+        due = self.model.serve(name, now)
+        if due is None:
+            self.busy += 1
+            return line.answer(now, b"busy\r\n")
+        total = self.model.add(name, amount, life, now)
+        if self.keep_adds:
+            self.added[line.door, name] += amount
+        if self.spoil and self.random.random() < self.spoil:
+            return line.answer(due, b"ok \xff\x00 no number\r\n")
+        line.answer(due, f"ok {total:.9g}\r\n".encode())
+
+
+def read_call(text: bytes) -> tuple[str, float, int] | None:
+    """`tally NAME AMOUNT LIFE` to name, amount and life in µs; None where it is no such call."""
+    if len(text) > MOST_LINE or not text.isascii():
+        return None
+    words = text.decode().split(" ")
+    if len(words) != 4 or words[0] != "tally" or not 1 <= len(words[1].encode()) <= 64:
+        return None
+    if not AMOUNT.fullmatch(words[2]) or not (words[3].isdigit() and 1 <= int(words[3]) < 10**12):
+        return None
+    amount = float(words[2])
+    if not math.isfinite(amount) or abs(amount) > MOST_AMOUNT:
+        return None
+    return words[1], amount, min(int(words[3]) * 1000, MOST_LIFE)
--- /dev/null
+++ b/irisdeal/standins/relay.py
@@ -0,0 +1,260 @@
+"""A TCP relay that puts faults on the way between named peers: delay, throttle, reset, silence, cuts, splits.
+
+A link leads from one name to another and has an address of its own. Silent, it holds what is written and
+both ends stay open, as behind a machine that vanished (PROTOCOL, The network); what it held goes on later.
+Cut, new connections do not come up either: the accept queue of its address is kept full, so the kernel drops
+what asks for a connection, as a network would.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections import deque
+from collections.abc import Iterable
+from contextlib import suppress
+from dataclasses import dataclass
+from typing import cast
+
+from irisdeal.standins.books import Hold, Now
+
+MOST_HELD = 1_048_576  # bytes held on one way of one connection before its sender is no longer read
+BACKLOG = 128
+Address = tuple[str, int]
+
+
+@dataclass(slots=True)
+class Condition:
+    """How a link is. `rate` in bytes a second each way, 0 for no limit; `delay` in s each way."""
+
+    delay: float = 0.0
+    rate: float = 0.0
+    silent: bool = False
+    cut: bool = False
+
+    @property
+    def holds(self) -> bool:
+        return self.silent or self.cut
+
+
+class _Side(asyncio.Protocol):
+    """One end of one relayed connection. What comes here goes out at `other`."""
+
+    def __init__(self, link: Link) -> None:
+        self.link = link
+        self.other: _Side | None = None
+        self.transport: asyncio.Transport | None = None
+        self.held: deque[bytes] = deque()
+        self.size = 0
+        self.free_at = 0.0  # when the way is free for the next bytes, s of the loop
+        self.ended = self.over = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.link.sides.add(self)
+        if self.over:
+            self.transport.abort()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = None
+        self.over = True
+        self.link.sides.discard(self)
+        self.ended = True
+        self._flush()
+
+    def data_received(self, data: bytes) -> None:
+        self.held.append(data)
+        self.size += len(data)
+        if self.size > MOST_HELD and self.transport is not None:
+            self.transport.pause_reading()
+        self._flush()
+
+    def _flush(self) -> None:
+        """Pass on what is held, as the link's condition allows."""
+        condition, other = self.link.condition, self.other
+        if condition.holds or other is None:
+            return
+        loop = asyncio.get_running_loop()
+        if other.transport is None:
+            if not other.over:
+                return  # it is still connecting
+            self.held.clear()
+        now = loop.time()
+        while self.held:
+            data = self.held.popleft()
+            self.size -= len(data)
+            if not (condition.delay or condition.rate):
+                other.put(data)
+                continue
+            self.free_at = max(self.free_at, now) + (len(data) / condition.rate if condition.rate else 0.0)
+            loop.call_at(self.free_at + condition.delay, other.put, data)
+        if self.transport is not None and self.size <= MOST_HELD:
+            self.transport.resume_reading()
+        if self.ended:
+            loop.call_at(max(now, self.free_at) + condition.delay, other.finish)
+
+    def put(self, data: bytes) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.write(data)
+
+    def finish(self) -> None:
+        self.over = True
+        if self.transport is not None:
+            self.transport.close()
+
+    def reset(self) -> None:
+        self.over = True
+        if self.transport is not None:
+            self.transport.abort()
+
+
+class Link:
+    """The way from one name to another, at an address of its own."""
+
+    def __init__(self, source: str, target: str, to: Address, now: Now, holds: list[Hold]) -> None:
+        self.source, self.target, self.to = source, target, to
+        self.now, self.holds = now, holds
+        self.hold: Hold | None = None
+        self.condition = Condition()
+        self.sides: set[_Side] = set()
+        self.listening: socket.socket | None = None
+        self.fillers: list[socket.socket] = []
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.accepted = 0
+
+    async def open(self) -> int:
+        """Listen on loopback; the port."""
+        made = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        made.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        made.bind(("127.0.0.1", 0))
+        made.listen(BACKLOG)
+        made.setblocking(False)
+        self.listening = made
+        asyncio.get_running_loop().add_reader(made, self._accept)
+        return self.port
+
+    @property
+    def port(self) -> int:
+        assert self.listening is not None
+        return int(self.listening.getsockname()[1])
+
+    def _accept(self) -> None:
+        assert self.listening is not None
+        while True:
+            try:
+                made, _ = self.listening.accept()
+            except OSError:
+                return
+            made.setblocking(False)
+            made.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self.accepted += 1
+            task = asyncio.get_running_loop().create_task(self._join(made))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    async def _join(self, made: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        near, far = _Side(self), _Side(self)
+        near.other, far.other = far, near
+        try:
+            await loop.connect_accepted_socket(lambda: near, made)
+        except OSError:
+            made.close()
+            return
+        try:
+            await loop.create_connection(lambda: far, *self.to)
+        except OSError:  # refused there is refused here, as well as an open connection can tell
+            near.reset()
+            return
+        near._flush()
+
+    def set(self, condition: Condition) -> None:
+        """Another condition; what was held goes on if it may."""
+        was, self.condition = self.condition, condition
+        if self.hold is not None:
+            self.hold.end, self.hold = self.now(), None
+        if condition.holds or condition.delay:
+            late = 0 if condition.holds else round(condition.delay * 1e6)
+            self.hold = Hold(self.source, self.target, self.now(), late=late)
+            self.holds.append(self.hold)
+        if condition.cut and not was.cut:
+            self._fill()
+        elif was.cut and not condition.cut:
+            self._empty()
+        for side in list(self.sides):
+            side._flush()
+
+    def reset(self) -> None:
+        """Every connection of the link is reset, both ends."""
+        for side in list(self.sides):
+            side.reset()
+
+    def _fill(self) -> None:
+        """Keep the accept queue full: connections no longer come up."""
+        if self.listening is None:
+            return
+        asyncio.get_running_loop().remove_reader(self.listening)
+        self._accept()  # what came before the cut did come up
+        self.listening.listen(0)
+        for _ in range(2):  # a queue of 0 holds one; the second finds it full
+            filler = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            filler.setblocking(False)
+            with suppress(BlockingIOError):
+                filler.connect(self.listening.getsockname())
+            self.fillers.append(filler)
+
+    def _empty(self) -> None:
+        for filler in self.fillers:
+            filler.close()
+        self.fillers.clear()
+        if self.listening is not None:
+            self.listening.listen(BACKLOG)
+            asyncio.get_running_loop().add_reader(self.listening, self._accept)
+
+    def close(self) -> None:
+        for filler in self.fillers:
+            filler.close()
+        if self.listening is not None:
+            asyncio.get_running_loop().remove_reader(self.listening)
+            self.listening.close()
+            self.listening = None
+        self.reset()
+
+
+class Relay:
+    """All links. Conditions are set by names; a split cuts every link between two groups."""
+
+    def __init__(self, now: Now, holds: list[Hold]) -> None:
+        self.now, self.holds = now, holds
+        self.links: list[Link] = []
+
+    async def add(self, source: str, target: str, to: Address) -> Address:
+        """A new link; the address to use in place of the target's."""
+        link = Link(source, target, to, self.now, self.holds)
+        self.links.append(link)
+        return "127.0.0.1", await link.open()
+
+    def between(self, names: Iterable[str]) -> list[Link]:
+        """The links that touch one of these names."""
+        wanted = set(names)
+        return [link for link in self.links if link.source in wanted or link.target in wanted]
+
+    def set(self, names: Iterable[str], condition: Condition) -> None:
+        for link in self.between(names):
+            link.set(condition)
+
+    def split(self, *groups: Iterable[str]) -> None:
+        """Cut every link whose ends lie in two of the groups; what is in no group sees all."""
+        of = {name: n for n, group in enumerate(groups) for name in group}
+        for link in self.links:
+            one, other = of.get(link.source), of.get(link.target)
+            if one is not None and other is not None and one != other:
+                link.set(Condition(cut=True))
+
+    def heal(self) -> None:
+        for link in self.links:
+            link.set(Condition())
+
+    def close(self) -> None:
+        for link in self.links:
+            link.close()
--- /dev/null
+++ b/irisdeal/standins/schedule.py
@@ -0,0 +1,252 @@
+"""A day drawn from a scenario and a seed: machines, stores, and every first try with its moment. Pure.
+
+The same scenario and seed give the same day every time, on any machine and under any hash seed: each thing
+that is drawn has a random stream of its own, named by what it is for, so that a change to one draw moves no
+other.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import math
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from irisdeal.standins.books import SECOND
+from irisdeal.standins.scenario import Class, Plan, Scenario
+
+LEAST_STORES = 2  # of each plan: one alone would make its plan
+MOST_ARRIVALS = 2_000_000  # of a day: a load over this is refused rather than drawn
+
+
+def stream(seed: int, *name: object) -> random.Random:
+    """A random stream of its own for each name."""
+    digest = hashlib.blake2b(repr((seed, *name)).encode(), digest_size=16).digest()
+    return random.Random(int.from_bytes(digest))
+
+
+@dataclass(frozen=True, slots=True)
+class Machine:
+    """One box as drawn. `speed` is that of one core; slots and queue are whole numbers for the box."""
+
+    number: int
+    hall: str
+    kind: str
+    cell: int
+    cores: int
+    speed: float
+    slots: int
+    queue: int
+    cold_from: float
+    cold: int  # µs
+    error_rate: float
+
+    @property
+    def capacity(self) -> float:
+        """Core seconds of work a second."""
+        return self.cores * self.speed
+
+
+@dataclass(frozen=True, slots=True)
+class Store:
+    """One customer and how it asks."""
+
+    customer: int
+    plan: int
+    first: int  # of its doors
+    spread: int
+    rate: float  # units a second that it asks, spikes apart
+    manner: str  # calm, full, heavy or spiky
+    spikes: tuple[tuple[int, int, float], ...]  # start and end (µs from the start), times the plan's rate
+    honours: bool  # Retry-After
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A first try: `at` µs from the start of the day."""
+
+    at: int
+    store: int
+    kind: int
+    ask: int
+
+
+@dataclass(frozen=True, slots=True)
+class Day:
+    """All that is drawn ahead."""
+
+    scenario: Scenario
+    seed: int
+    machines: tuple[Machine, ...]
+    stores: tuple[Store, ...]
+    arrivals: tuple[Arrival, ...]
+
+    def digest(self) -> str:
+        """A digest of the whole schedule: the same for the same seed."""
+        text = repr((self.machines, self.stores, self.arrivals)).encode()
+        return hashlib.blake2b(text, digest_size=8).hexdigest()
+
+
+def draw(scenario: Scenario, seed: int) -> Day:
+    """The day of this seed. ValueError where the load is past any use."""
+    machines = tuple(machine(scenario, seed, n) for n in range(scenario.fleet.boxes))
+    stores = tuple(_stores(scenario, seed, machines))
+    expected = sum(s.rate for s in stores) / mean_units(scenario) * scenario.seconds
+    if expected > MOST_ARRIVALS:
+        raise ValueError(f"{scenario.name}: about {expected:.0f} requests: wanted at most {MOST_ARRIVALS}")
+    return Day(scenario, seed, machines, stores, tuple(_arrivals(scenario, seed, stores)))
+
+
+def machine(scenario: Scenario, seed: int, number: int) -> Machine:
+    """The box of this number; numbers past the fleet's are those that come later."""
+    fleet, rng = scenario.fleet, stream(seed, "machine", number)
+    total = sum(k.share for k in fleet.kinds)
+    # Kinds by their share without luck: the low-discrepancy sequence keeps a small fleet near its shares.
+    point = (0.5 + number * 0.618033988749895) % 1.0 * total
+    for kind in fleet.kinds:
+        point -= kind.share
+        if point < 0:
+            break
+    speed = kind.speed * max(0.3, rng.gauss(1.0, kind.speed_cv))
+    halls = len(fleet.halls)
+    cell = number // (fleet.cell * halls) * halls + number % halls
+    return Machine(
+        number, fleet.halls[number % halls], kind.name, cell,
+        kind.cores, speed, max(kind.cores, round(kind.slots_per_core * kind.cores)),
+        round(kind.queue_per_core * kind.cores), kind.cold_from, round(kind.cold_s * 1e6), kind.error_rate)
+
+
+def mean_units(scenario: Scenario) -> float:
+    shares = sum(c.share for c in scenario.classes)
+    return sum(c.share * c.units for c in scenario.classes) / shares
+
+
+def mean_work(scenario: Scenario) -> float:
+    """Seconds of one core at speed 1 for one unit asked."""
+    shares = sum(c.share for c in scenario.classes)
+    return sum(c.share * c.work_ms for c in scenario.classes) / shares / 1e3 / mean_units(scenario)
+
+
+def _inside(manner: str, use: float) -> float:
+    """The share of its rate that a store uses inside its quota, about."""
+    return {"calm": use, "spiky": use + 0.1, "full": 0.92, "heavy": 1.0}[manner]
+
+
+def _stores(scenario: Scenario, seed: int, machines: tuple[Machine, ...]) -> Iterator[Store]:
+    load = scenario.load
+    inside = load.use * sum(m.capacity for m in machines) / mean_work(scenario)  # units a second, all plans
+    shares = sum(p.share for p in scenario.plans)
+    for n, plan in enumerate(scenario.plans):
+        rng = stream(seed, "stores", n)
+        wanted, used, made = inside * plan.share / shares, 0.0, 0
+        manners = _manners(scenario, rng)
+        while made < plan.stores or (not plan.stores and (made < LEAST_STORES or used < wanted)):
+            manner = next(manners)
+            use = rng.uniform(*load.calm_use)
+            used += _inside(manner, use) * plan.rate
+            made += 1
+            yield _store(scenario, plan, n, rng, manner, use)
+
+
+def _manners(scenario: Scenario, rng: random.Random) -> Iterator[str]:
+    """Manners by their shares, in an order drawn for each hundred: few stores must not be all of one."""
+    load = scenario.load
+    counts = [("full", load.full), ("heavy", load.heavy), ("spiky", load.spiky)]
+    while True:
+        hundred = [name for name, share in counts for _ in range(round(100 * share))][:100]
+        hundred += ["calm"] * (100 - len(hundred))
+        rng.shuffle(hundred)
+        yield from hundred
+
+
+def _store(scenario: Scenario, plan: Plan, number: int, rng: random.Random, manner: str, use: float) -> Store:
+    load, doors = scenario.load, scenario.doors
+    least = min(2, doors)
+    spread = min(doors, max(least, round(rng.uniform(*load.spread) * doors)))
+    if ceiling := scenario.ceiling(plan):  # its part of the ceiling must hold a request of the largest kind
+        most = max(c.units for c in scenario.classes)
+        spread = max(1, min(spread, int(ceiling.depth / (2 * most))))
+    rate = plan.rate * {"calm": use, "spiky": use, "full": rng.uniform(0.85, 1.0),
+                        "heavy": rng.uniform(*load.heavy_x)}[manner]
+    spikes: list[tuple[int, int, float]] = []
+    at = rng.expovariate(1 / load.spike_every_s) if manner == "spiky" and load.spike_every_s else math.inf
+    while at < scenario.seconds:
+        end = at + rng.uniform(*load.spike_s)
+        spikes.append((round(at * 1e6), round(end * 1e6), rng.uniform(*load.spike_x)))
+        at = end + rng.expovariate(1 / load.spike_every_s)
+    return Store(rng.randrange(1, 2**33), number, rng.randrange(doors), spread, rate, manner, tuple(spikes),
+                 rng.random() < load.honour)
+
+
+def _arrivals(scenario: Scenario, seed: int, stores: tuple[Store, ...]) -> Iterator[Arrival]:
+    units = mean_units(scenario)
+    rushes = [(round(f.at_s * 1e6), round((f.at_s + f.for_s) * 1e6), f.size)
+              for f in scenario.faults if f.do == "rush"]
+    found: list[tuple[int, int, int]] = []
+    weights = [c.share for c in scenario.classes]
+    kinds = range(len(scenario.classes))
+    for n, store in enumerate(stores):
+        rng = stream(seed, "arrivals", n)
+        plan_rate = scenario.plans[store.plan].rate
+        # Thinning (Lewis and Shedler 1979): draw at the highest rate, keep by the share of the present one.
+        top = max([store.rate, *(times * plan_rate for _, _, times in store.spikes)])
+        top *= max([1.0, *(size for _, _, size in rushes)])
+        at = 0.0
+        while (at := at + rng.expovariate(top / units)) < scenario.seconds:
+            now = round(at * 1e6)
+            spike = next((times for start, end, times in store.spikes if start <= now < end), None)
+            rate = store.rate if spike is None else spike * plan_rate
+            rate *= next((size for start, end, size in rushes if start <= now < end), 1.0)
+            if rng.random() * top < rate:
+                found.append((now, n, rng.choices(kinds, weights)[0]))
+    found.sort()
+    for ask, (now, n, kind) in enumerate(found):
+        yield Arrival(now, n, kind, ask)
+
+
+def trace(seed: int, ask: int, attempt: int) -> str:
+    """The id of a try: 16 hex digits, never the same for two tries of one seed."""
+    return hashlib.blake2b(f"{seed}:{ask}:{attempt}".encode(), digest_size=8).hexdigest()
+
+
+def claim_key(seed: int, ask: int) -> str:
+    """The key of a keyed request: the same for a client's retries of it."""
+    return hashlib.blake2b(f"key:{seed}:{ask}".encode(), digest_size=16).hexdigest()
+
+
+def work(seed: int, name: str, kind: Class) -> int:
+    """µs of work of a request, by its id: lognormal with the class's mean and spread.
+
+    A mean m and a coefficient of variation c are those of exp(N(ln m - s²/2, s²)) with s² = ln(1 + c²).
+    """
+    variance = math.log1p(kind.cv * kind.cv)
+    rng = stream(seed, "work", name)
+    drawn = rng.lognormvariate(math.log(kind.work_ms) - variance / 2, math.sqrt(variance))
+    return max(100, round(min(drawn, 30 * kind.work_ms) * 1000))
+
+
+def weights(seed: int, scenario: Scenario, store: int, spread: int, now: int) -> list[float]:
+    """How a store's requests are dealt out over its doors at a time (µs from the start); sums to 1.
+
+    The busiest changes every `shift_s`; a hot door takes its share of them while it lasts.
+    """
+    load = scenario.load
+    turn = int(now // (load.shift_s * SECOND))
+    order = list(range(spread))
+    stream(seed, "shift", store, turn).shuffle(order)
+    raw = [0.0] * spread
+    for place, n in enumerate(order):
+        raw[n] = (place + 1.0) ** -load.skew
+    total = sum(raw)
+    shares = [r / total for r in raw]
+    for fault in scenario.faults:
+        if fault.do == "hot-door" and fault.at_s * SECOND <= now < (fault.at_s + fault.for_s) * SECOND:
+            shares = [s * (1.0 - fault.size) for s in shares]
+            shares[order[0]] += fault.size
+    return shares
+
+
+def window_of(start: int, seconds: float) -> tuple[int, int]:
+    """The part of a run that counts: from the first second on (BRIEF, Weights of service), in µs."""
+    return start + SECOND, start + round(seconds * SECOND)
--- /dev/null
+++ b/irisdeal/standins/service.py
@@ -0,0 +1,171 @@
+"""What the stores got: service by class and plan, the worst 10 s, and what was sent on beyond quotas. Pure.
+
+The reckoning is that of BENCH ('How a day is judged', 'This kind of system'): offered is what one gateway
+that saw all first tries would let in; served is the worth answered within the aim for tries that were inside
+the quota when they were first sent on. Its prices and weights are not added up here: this page shows shares.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections import defaultdict
+from dataclasses import dataclass, field
+
+from irisdeal.standins.books import SECOND, Attempt, Books, End, Taken
+from irisdeal.standins.scenario import Scenario
+
+WINDOW = 10 * SECOND  # µs; the worst 10 s of BRIEF, Weights of service
+
+
+class Bucket:
+    """One store's quota over all doors: units at a rate with a burst, and attempts out at once."""
+
+    def __init__(self, rate: float, burst: float, most_out: int) -> None:
+        self.rate, self.burst, self.most_out = rate, burst, most_out
+        self.left, self.at = burst, 0
+        self.out: list[int] = []  # when each attempt that is out will end, a heap of µs
+
+    def take(self, at: int, units: float, ends: int) -> bool:
+        """Whether a try at `at` (µs) is inside; if so it takes its units. It is out until `ends`."""
+        self.left = min(self.burst, self.left + self.rate * max(0, at - self.at) / 1e6)
+        self.at = max(at, self.at)
+        while self.out and self.out[0] <= at:
+            heapq.heappop(self.out)
+        inside = self.left >= units and (not self.most_out or len(self.out) < self.most_out)
+        if inside:
+            self.left -= units
+        heapq.heappush(self.out, ends)
+        return inside
+
+
+@dataclass(slots=True)
+class Share:
+    """Worth offered inside quotas, and worth served in time, both in the same measure."""
+
+    offered: float = 0.0
+    served: float = 0.0
+
+    @property
+    def share(self) -> float:
+        """At most 1: what is served of what was not offered does not count."""
+        return min(1.0, self.served / self.offered) if self.offered else 1.0
+
+
+@dataclass(slots=True)
+class Service:
+    """The figures of one run; shares are of worth, counts of requests."""
+
+    whole: Share = field(default_factory=Share)
+    kinds: dict[str, Share] = field(default_factory=dict)
+    plans: dict[str, Share] = field(default_factory=dict)
+    worst: float = 1.0
+    worst_at: float = 0.0  # s from the start
+    first_tries: int = 0
+    tries: int = 0
+    attempts: int = 0
+    inside_per_s: float = 0.0  # tries served inside the quotas a second
+    beyond_units: float = 0.0  # share of the units first sent on
+    refused: int = 0
+    failed: int = 0
+    latencies: list[int] = field(default_factory=list)  # µs from a try's last byte to its good answer, sorted
+
+    def percentile(self, share: float) -> float:
+        """ms; 0 where nothing was served."""
+        if not self.latencies:
+            return 0.0
+        return self.latencies[min(len(self.latencies) - 1, int(share * len(self.latencies)))] / 1000
+
+
+def reckon(books: Books, scenario: Scenario, start: int) -> Service:
+    """The service of one run that began at `start` (µs)."""
+    made = Service(
+        kinds={c.name: Share() for c in scenario.classes}, plans={p.name: Share() for p in scenario.plans})
+    kinds = {c.name: c for c in scenario.classes}
+    plans = {p.name: p for p in scenario.plans}
+    begin, end = start + SECOND, start + round(scenario.seconds * SECOND)
+    by_ask: dict[int, list[Taken]] = defaultdict(list)
+    for taken in books.taken:
+        by_ask[taken.ask].append(taken)
+    firsts = _firsts(books.attempts)
+    inside = _inside(books, scenario, firsts)
+    offers, slots = _buckets(scenario), defaultdict[int, Share](Share)
+    beyond = total = 0.0
+    for trace, attempt in firsts.items():
+        total += attempt.units
+        beyond += 0.0 if inside[trace] else attempt.units
+    for tries in sorted(by_ask.values(), key=lambda t: t[0].due):
+        first, kind, plan = tries[0], kinds[tries[0].kind], plans[tries[0].plan]
+        worth = kind.worth * plan.price * first.units
+        bucket = offers(first.plan, first.customer)
+        offered = bucket.take(first.due, first.units, first.due + round(kind.work_ms * 1000))
+        if not begin <= first.due < end:
+            continue
+        made.first_tries += 1
+        made.tries += len(tries)
+        part = worth if offered else worth * plan.beyond_worth
+        good = 0.0
+        for taken in tries:
+            answer = taken.answers[0] if taken.answers else None
+            if answer is None or answer.status != 200:
+                refused = answer is not None and answer.status in (429, 503)
+                made.refused += refused
+                made.failed += not refused
+                continue
+            made.latencies.append(answer.at - taken.at)
+            earned = worth * (1.0 if inside.get(taken.trace, False) else plan.beyond_worth)
+            in_time = answer.at - first.due <= kind.aim_ms * 1000
+            good = max(good, earned * (1.0 if in_time else kind.late_worth))
+            made.inside_per_s += inside.get(taken.trace, False)
+        for share in (made.whole, made.kinds[first.kind], made.plans[first.plan], slots[first.due // SECOND]):
+            share.offered += part
+            share.served += good
+    made.latencies.sort()
+    made.attempts = len(books.attempts)
+    made.inside_per_s /= max(0.1, (end - begin) / 1e6)
+    made.beyond_units = beyond / total if total else 0.0
+    _worst(made, slots, begin, end)
+    return made
+
+
+def _worst(made: Service, slots: dict[int, Share], begin: int, end: int) -> None:
+    """The worst window, moved on by a second; a run shorter than one window is one window."""
+    made.worst = made.whole.share
+    for at in range(begin // SECOND, (end - WINDOW) // SECOND + 1):
+        seconds = [slots[n] for n in range(at, at + WINDOW // SECOND) if n in slots]
+        offered = sum(s.offered for s in seconds)
+        share = min(1.0, sum(s.served for s in seconds) / offered) if offered else 1.0
+        if share < made.worst:
+            made.worst, made.worst_at = share, at - begin / SECOND + 1.0
+
+
+def _firsts(attempts: list[Attempt]) -> dict[str, Attempt]:
+    firsts: dict[str, Attempt] = {}
+    for attempt in sorted(attempts, key=lambda a: a.last_byte):
+        firsts.setdefault(attempt.trace, attempt)
+    return firsts
+
+
+def _inside(books: Books, scenario: Scenario, firsts: dict[str, Attempt]) -> dict[str, bool]:
+    """For each try, whether it was inside its store's quota when it was first sent on."""
+    buckets = _buckets(scenario)
+    return {
+        trace: buckets(a.plan, a.customer).take(
+            a.last_byte, a.units, a.ended if a.end is not End.OPEN else a.last_byte + 60 * SECOND)
+        for trace, a in firsts.items()}
+
+
+class _Buckets(dict[tuple[str, int], Bucket]):
+    def __init__(self, scenario: Scenario) -> None:
+        super().__init__()
+        self.scenario = scenario
+        self.plans = {p.name: p for p in scenario.plans}
+
+    def __call__(self, plan: str, customer: int) -> Bucket:
+        if (bucket := self.get((plan, customer))) is None:
+            told = self.plans[plan]
+            bucket = self[plan, customer] = Bucket(told.rate, self.scenario.burst(told), told.open)
+        return bucket
+
+
+def _buckets(scenario: Scenario) -> _Buckets:
+    return _Buckets(scenario)
--- /dev/null
+++ b/tests/rig.py
@@ -0,0 +1,162 @@
+"""A day of the stand-ins with doors in the test's own loop, so that a test can break them."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import uvloop
+
+from cresspulley.control import Gateway
+from cresspulley.interface import Decider, Settings
+from irisdeal.door.config import Config, parse
+from irisdeal.door.program import Program
+from irisdeal.standins.audit import Verdict, audit
+from irisdeal.standins.books import Books, DoorLife
+from irisdeal.standins.platform import Platform
+from irisdeal.standins.scenario import parse as read
+from irisdeal.standins.schedule import draw
+from irisdeal.standins.terminals import Terminals
+
+# A day of three seconds in which every rule has something to say: short grace, short fall, a low ceiling.
+SMALL = """
+seconds = 3
+doors = 2
+[fleet]
+boxes = 6
+connections_per_core = 400
+[[fleet.kind]]
+cores = 2
+speed = 1.0
+slots_per_core = 4
+queue_per_core = 12
+cold_from = 0.2
+cold_s = 8
+[[class]]
+name = "check"
+share = 0.6
+work_ms = 12
+aim_ms = 400
+deadline_ms = 900
+[[class]]
+name = "claim"
+share = 0.2
+work_ms = 20
+aim_ms = 500
+deadline_ms = 900
+repeat = "keyed"
+window_ms = 600
+[[class]]
+name = "file"
+share = 0.2
+work_ms = 20
+aim_ms = 500
+deadline_ms = 900
+repeat = "unsafe"
+[[plan]]
+name = "plain"
+share = 0.7
+rate = 20
+burst_s = 2
+[[plan]]
+name = "mall"
+share = 0.3
+rate = 4
+burst_s = 1
+ceiling = 1.2
+[load]
+use = 0.25
+heavy = 0.5
+heavy_x = [3, 5]
+try_share = 1.0
+retries = 1
+[roster]
+notice_s = 0.05
+spread_ms = 20
+[rules]
+drain_grace_ms = 300
+fall_ms = 400
+warm_up_s = 8
+"""
+DAY = SMALL + """
+[[at]]
+at_s = 0.3
+do = "box-drain"
+boxes = 1
+for_s = 2.5
+[[at]]
+at_s = 0.3
+do = "box-crash"
+boxes = 1
+for_s = 0.1
+"""
+
+MakeDecider = Callable[[Settings, int], Decider]
+
+
+class NoDoors:
+    """A day whose timeline does nothing to doors."""
+
+    async def kill(self, door: int, down: float) -> None:
+        raise AssertionError("no door is to be killed here")
+
+    async def restart(self, door: int) -> None:
+        raise AssertionError("no door is to be restarted here")
+
+    async def reload(self, door: int) -> None:
+        raise AssertionError("no door is to be told anything here")
+
+
+@dataclass
+class Played:
+    books: Books
+    verdict: Verdict
+    programs: list[Program]
+    platform: Platform
+
+
+def _listening_anywhere(config: Config) -> Config:
+    return Config(**{**{f: getattr(config, f) for f in Config.__slots__}, "listen": ("127.0.0.1", 0)})
+
+
+async def play(
+    text: str, seed: int = 1, make: MakeDecider = Gateway, spoil: Callable[[Program], None] = lambda _: None,
+    during: Callable[[Platform, Terminals], None] = lambda *_: None,
+) -> Played:
+    """Play a scenario with in-loop doors; `spoil` may break each of them before it starts."""
+    platform = Platform(draw(read(text), seed))
+    await platform.start()
+    loop, programs = asyncio.get_running_loop(), list[Program]()
+    try:
+        for door in platform.doors:
+            config = _listening_anywhere(parse(platform.config(door, "127.0.0.1:1", 5 + door)))
+            program = Program(config, loop, make(config.settings, config.seed))
+            spoil(program)
+            program.start()
+            programs.append(program)
+            platform.books.doors.append(DoorLife(door, 0, platform.now()))
+        addresses = [("127.0.0.1", program.clients.port()) for program in programs]
+        terminals = Terminals(platform.day, platform.books, platform.now, addresses)
+        start = platform.now()
+        platform.play(start, NoDoors())
+        during(platform, terminals)
+        await terminals.run(start)
+        await asyncio.sleep(0.1)  # what a door sends behind its last answer comes to a box within that time
+    finally:
+        for program in programs:
+            program.discovery.stop()
+            program.clients.stop_listening()
+        terminals.close()
+        platform.close()
+    return Played(platform.books, audit(platform.books, platform.figures), programs, platform)
+
+
+def played(text: str, **how: object) -> Played:
+    """The same from a plain test."""
+    logging.getLogger("irisdeal").setLevel(logging.CRITICAL)  # broken doors have much to say
+    try:
+        return uvloop.run(play(text, **how))  # type: ignore[arg-type]
+    finally:
+        logging.getLogger("irisdeal").setLevel(logging.NOTSET)
--- /dev/null
+++ b/tests/test_audit.py
@@ -0,0 +1,208 @@
+"""The audit by itself: books written by hand, each rule at its limit and one step past it."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from irisdeal.standins.audit import Ceiling, Figures, KindRule, Rule, audit, over_budget
+from irisdeal.standins.books import SECOND, Answer, Attempt, Books, DoorLife, End, Hold, Life, Taken, Told
+
+FIGURES = Figures(
+    kinds={"check": KindRule("safe"), "claim": KindRule("keyed", "zone", 5 * SECOND),
+           "cell": KindRule("keyed", "cell", 5 * SECOND), "file": KindRule("unsafe")},
+    ceilings={"mall": Ceiling(10.0, 20.0, 2.0)}, answer_grace=8_000, drain_grace=SECOND, fall_multiple=4.0,
+    fall_window=2 * SECOND, cells={"s1": 1, "s2": 2, "s3": 1})
+MS = 1000
+
+
+def attempt(at: int, box: str = "s1", **changes: object) -> Attempt:
+    base: dict[str, object] = {
+        "trace": "t", "key": "", "kind": "check", "plan": "plain", "customer": 7, "units": 1.0, "door": 0,
+        "box": box, "hall": {"s1": "a", "s2": "b", "s3": "a"}[box], "life": 0, "connection": 1,
+        "first_byte": at, "last_byte": at, "work": 50 * MS, "ran": True, "end": End.SERVED,
+        "ended": at + 50 * MS, "body": b"x"}
+    return Attempt(**{**base, **changes})  # type: ignore[arg-type]
+
+
+def taken(*answers: Answer, **changes: object) -> Taken:
+    base: dict[str, object] = {
+        "trace": "t", "ask": 1, "attempt": 0, "key": "", "kind": "check", "plan": "plain", "customer": 7,
+        "units": 1.0, "door": 0, "due": SECOND, "wait": SECOND, "at": SECOND, "answers": list(answers)}
+    return Taken(**{**base, **changes})  # type: ignore[arg-type]
+
+
+def broken(**parts: object) -> list[str]:
+    verdict = audit(Books(**parts), FIGURES)  # type: ignore[arg-type]
+    assert verdict.kept == (not verdict.breaches)
+    return [f"{b.rule.name}: {b.what}" for b in verdict.breaches]
+
+
+OK = Answer(SECOND + 60 * MS, 200, b"x")
+LIMIT = 2 * SECOND + 8 * MS + 50 * MS
+
+
+def test_one_answer_in_time_that_a_box_made_is_right() -> None:
+    assert broken(taken=[taken(OK)], attempts=[attempt(SECOND)]) == []
+
+
+@pytest.mark.parametrize(("made", "says"), [
+    (taken(), "never answered"),
+    (taken(cut=SECOND + 1), "its connection ended with no whole answer"),
+    (taken(Answer(LIMIT + 1, 502, b"")), "answered too late"),
+    (taken(OK, OK), "answered more than once"),
+    (taken(OK, stray=1), "answered more than once"),
+    (taken(Answer(SECOND + 60 * MS, 200, b"y")), "served with what no box made for it"),
+    (taken(Answer(SECOND + 40 * MS, 200, b"x")), "served with what no box made for it"),  # before the box did
+])
+def test_answers_that_are_wrong(made: Taken, says: str) -> None:
+    assert broken(taken=[made], attempts=[attempt(SECOND)]) == [f"ANSWERS: {says}"]
+
+
+def test_an_answer_at_the_limit_is_in_time_and_lateness_of_our_own_moves_it() -> None:
+    assert broken(taken=[taken(Answer(LIMIT, 502, b""))]) == []
+    assert broken(taken=[taken(Answer(LIMIT + 20 * MS, 502, b""))], lateness=20 * MS) == []
+
+
+def test_nothing_is_sent_after_the_answer() -> None:
+    late = attempt(OK.at + 51 * MS, "s2")
+    found = broken(taken=[taken(OK)], attempts=[attempt(SECOND), late])
+    assert found == ["ANSWERS: sent after its final answer"]
+    assert broken(taken=[taken(OK)], attempts=[attempt(SECOND), attempt(OK.at + 50 * MS, "s2")]) == []
+
+
+def test_a_try_that_came_to_no_door_is_owed_nothing() -> None:
+    assert broken(taken=[taken(at=0)]) == []
+
+
+def test_what_a_killed_door_held_is_the_clients() -> None:
+    life = DoorLife(0, 1, started=0, killed=SECOND + 500 * MS)
+    verdict = audit(Books(taken=[taken(cut=SECOND + 500 * MS)], doors=[life]), FIGURES)
+    assert verdict.kept and verdict.excused == 1
+    assert broken(taken=[taken(cut=SECOND + 400 * MS, door=1)], doors=[life])  # another door's
+    assert broken(taken=[taken(at=2 * SECOND)], doors=[life])  # after its end: no such door took it
+
+
+def test_a_kill_late_after_sigterm_excuses_nothing() -> None:
+    late = DoorLife(0, 1, started=0, terminated=SECOND, killed=SECOND + 701 * MS)
+    soon = DoorLife(0, 1, started=0, terminated=SECOND, killed=SECOND + 700 * MS)
+    assert broken(taken=[taken()], doors=[late]) == ["ANSWERS: never answered"]
+    assert broken(taken=[taken()], doors=[soon]) == []
+
+
+def test_a_crossed_try_that_reached_no_box_is_not_lost() -> None:
+    assert broken(taken=[taken(crossed=True)]) == []
+    assert broken(taken=[taken(crossed=True)], attempts=[attempt(SECOND)]) == ["ANSWERS: never answered"]
+
+
+def test_an_unsafe_request_again_only_after_proof() -> None:
+    first = attempt(SECOND, kind="file", end=End.TURNED_AWAY, ended=SECOND + 10 * MS, ran=False)
+    assert broken(attempts=[first, attempt(SECOND + 10 * MS, "s2", kind="file")]) == []
+    assert broken(attempts=[first, attempt(SECOND + 9 * MS, "s2", kind="file")]) == [
+        "EFFECTS: an unsafe request was sent again"]
+    for end in (End.OPEN, End.ERROR, End.BROKEN, End.SPOILT, End.SERVED):
+        again = [attempt(SECOND, kind="file", end=end), attempt(SECOND + 900 * MS, "s2", kind="file")]
+        assert broken(attempts=again) == ["EFFECTS: an unsafe request was sent again"]
+
+
+def test_a_keyed_request_again_in_its_group_and_window() -> None:
+    def sent(box: str, after: int, kind: str = "claim") -> list[str]:
+        return broken(attempts=[attempt(SECOND, kind=kind), attempt(SECOND + after, box, kind=kind)])
+
+    assert sent("s3", 5 * SECOND + 50 * MS) == []
+    assert sent("s3", 5 * SECOND + 51 * MS) == ["EFFECTS: a keyed request was sent after its window"]
+    assert sent("s2", 100) == ["EFFECTS: a keyed request was sent outside its group"]
+    assert sent("s3", 100, "cell") == [] and sent("s2", 100, "cell") != []
+    assert sent("s2", 100, "check") == []
+
+
+def test_a_refusal_promises() -> None:
+    refusal = Answer(SECOND + 20 * MS, 503, b"")
+    running = attempt(SECOND, kind="claim")
+    away = attempt(SECOND, kind="claim", end=End.TURNED_AWAY, ended=SECOND + 10 * MS)
+    assert broken(taken=[taken(refusal, kind="claim")], attempts=[running]) == [
+        "EFFECTS: refused, though it may have run"]
+    assert broken(taken=[taken(refusal, kind="claim")], attempts=[away]) == []
+    assert broken(taken=[taken(refusal, kind="check")], attempts=[attempt(SECOND)]) == []
+    assert broken(taken=[taken(Answer(refusal.at, 502, b""), kind="claim")], attempts=[running]) == []
+
+
+def test_drains_count_from_what_this_process_was_told() -> None:
+    told = [Told(0, SECOND, "s1", "Ready", 0), Told(0, 2 * SECOND, "s1", "Terminating", 0),
+            Told(0, 3 * SECOND, "s1", "Gone", 0)]
+    limit = 3 * SECOND + 50 * MS  # 1 s after the first of drain and gone
+    assert broken(told=told, attempts=[attempt(limit)]) == []
+    assert broken(told=told, attempts=[attempt(limit + 1)]) == [
+        "DRAINS: sent to a box that drains or is gone"]
+    held = [Hold("door 0", "a", limit - 1, limit + SECOND)]  # a link of ours kept it meanwhile
+    assert broken(told=told, attempts=[attempt(limit + SECOND)], holds=held) == []
+    assert broken(told=told, attempts=[attempt(limit + 2 * SECOND)], holds=held) != []
+    assert broken(told=told, attempts=[attempt(limit + 30 * MS)], holds=[
+        Hold("door 0", "a", SECOND, late=30 * MS)]) == []
+    assert broken(told=told, attempts=[attempt(limit + 31 * MS)], holds=[
+        Hold("door 0", "a", SECOND, late=30 * MS)]) != []
+    assert broken(told=told, attempts=[attempt(limit + 1, door=1)]) == []
+    back = Told(0, 4 * SECOND, "s1", "Ready", 4 * SECOND)
+    assert broken(told=[*told, back], attempts=[attempt(5 * SECOND)]) == []
+    lives = [DoorLife(0, 1, started=0), DoorLife(0, 2, started=limit)]
+    assert broken(told=told, attempts=[attempt(limit + 1)], doors=lives) == []
+
+
+def test_a_cold_boxs_budget() -> None:
+    life = Life("s1", "a", 0, 10 * SECOND, 2.0, 0.25, 10 * SECOND)
+    # 4 x 0.5 x 2 s = 4 s of work at the start, and one largest more
+    at = 10 * SECOND + 1
+    nine = [attempt(at, trace=f"t{n}", work=SECOND // 2) for n in range(9)]
+    assert broken(lives=[life], attempts=nine) == []
+    found = broken(lives=[life], attempts=[*nine, attempt(at, trace="t9", work=SECOND // 2)])
+    assert len(found) == 1 and found[0].startswith("COLD: 5.00 s of work in one window, 4.50 s allowed")
+    spread = [attempt(at + n * 250 * MS, trace=f"t{n}", work=SECOND // 2) for n in range(20)]
+    assert broken(lives=[life], attempts=spread) == []
+    assert broken(fallen=[("s1", 0, at)]) == ["COLD: it fell over"]
+    assert broken(lives=[Life("s1", "a", 0, 0, 2.0, 0.25, 10 * SECOND)], attempts=nine * 3) == []
+
+
+def test_a_ceiling_fills_at_its_rate_and_holds_its_slack() -> None:
+    # 20 at the start, down to -2, and 10 units a second for 150 ms more
+    def passed(*times: int) -> list[str]:
+        return broken(attempts=[
+            attempt(at, trace=f"t{n}", plan="mall", units=1.0) for n, at in enumerate(times)])
+
+    assert passed(*[SECOND] * 23) == []
+    assert len(passed(*[SECOND] * 24)) == 1
+    assert passed(*[SECOND] * 23, *[SECOND + 100 * MS * (n + 1) for n in range(20)]) == []
+    assert len(passed(*[SECOND] * 23, *[SECOND + 70 * MS * (n + 1) for n in range(20)])) == 1
+    again = [attempt(SECOND, trace="t", plan="mall", units=12.0),
+             attempt(SECOND, "s2", trace="t", plan="mall", units=12.0)]
+    assert broken(attempts=again) == []  # further attempts take nothing
+
+
+def test_a_breach_names_the_request_the_boxes_the_times_and_the_figure() -> None:
+    verdict = audit(Books(attempts=[attempt(SECOND, kind="claim"), attempt(SECOND + 5, "s2", kind="claim")]),
+                    FIGURES)
+    assert verdict.breaches[0].text(SECOND) == (
+        "no effect happens twice: a keyed request was sent outside its group: t at s1, s2 "
+        "(0.000 s, 0.000 s; group zone)")
+
+
+def test_breaches_without_end_are_counted_and_not_all_kept() -> None:
+    verdict = audit(Books(taken=[taken(trace=f"t{n}") for n in range(500)]), FIGURES)
+    assert verdict.counts[Rule.ANSWERS] == 500 and len(verdict.breaches) == 50
+
+
+@given(st.lists(st.tuples(st.integers(0, 400_000), st.integers(1, 800_000)), max_size=60))
+def test_the_moving_window_agrees_with_adding_up_each_one(gaps: list[tuple[int, int]]) -> None:
+    life = Life("s1", "a", 0, 10 * SECOND, 2.0, 0.25, 10 * SECOND)
+    at, sent = 10 * SECOND, []
+    for gap, work in gaps:
+        at += gap
+        sent.append((at, work))
+    over = None
+    for n, (now, _) in enumerate(sent):
+        window = [w for t, w in sent[:n + 1] if t > now - FIGURES.fall_window]
+        if sum(window) > 4.0 * life.now(now) * FIGURES.fall_window + max(window):
+            over = now
+            break
+    found = over_budget(sent, life, FIGURES)
+    assert (found and found[0]) == over
--- /dev/null
+++ b/tests/test_audit_on_sockets.py
@@ -0,0 +1,188 @@
+"""Doors that are broken on purpose: the audit names the rule. The same day with the real module passes."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Any
+
+from cresspulley.control import Gateway
+from cresspulley.interface import (
+    Action,
+    Arrival,
+    Event,
+    ListKind,
+    Refuse,
+    Send,
+    ServerEntry,
+    ServerList,
+    ServerState,
+    Settings,
+)
+from irisdeal.door.clients import Client, ClientRequest
+from irisdeal.door.loop import Door
+from irisdeal.door.program import Program
+from irisdeal.standins.audit import Rule
+from tests.rig import DAY, SMALL, played
+
+UNSAFE = 2  # the class `file`
+
+
+class Listed(Gateway):
+    """Keeps the list that it was told beside what the module makes of it."""
+
+    def __init__(self, settings: Settings, seed: int) -> None:
+        super().__init__(settings, seed)
+        self.list: dict[bytes, ServerEntry] = {}
+
+    def handle(self, now: int, events: list[Event]) -> list[Action]:
+        for event in list(events):
+            if isinstance(event, ServerList):
+                if event.kind is ListKind.COMPLETE:
+                    self.list.clear()
+                for entry in event.entries:
+                    self.list[entry.server] = entry
+        return super().handle(now, events)
+
+
+class SendsAgain(Listed):
+    """A second copy of every unsafe request, to another box."""
+
+    def handle(self, now: int, events: list[Event]) -> list[Action]:
+        unsafe = {e.request for e in list(events) if isinstance(e, Arrival) and e.request_class == UNSAFE}
+        actions = super().handle(now, events)
+        for action in list(actions):
+            if isinstance(action, Send) and action.request in unsafe:
+                other = next(s for s in self.list if s != action.server)
+                actions.append(Send(action.request, other))
+        return actions
+
+
+class RefusesAfterSending(Listed):
+    """Promises that an unsafe request, just sent, did not run."""
+
+    def handle(self, now: int, events: list[Event]) -> list[Action]:
+        unsafe = {e.request for e in list(events) if isinstance(e, Arrival) and e.request_class == UNSAFE}
+        actions = super().handle(now, events)
+        return actions + [Refuse(a.request) for a in actions if isinstance(a, Send) and a.request in unsafe]
+
+
+class KeepsDraining(Gateway):
+    """Never hears that a box drains."""
+
+    def handle(self, now: int, events: list[Event]) -> list[Action]:
+        for n, event in enumerate(list(events)):
+            if isinstance(event, ServerList):
+                events[n] = replace(event, entries=tuple(
+                    replace(e, state=ServerState.READY) if e.state is ServerState.DRAINING else e
+                    for e in event.entries if e.state is not ServerState.GONE))
+        return super().handle(now, events)
+
+
+class FloodsCold(Listed):
+    """Everything goes to the box that started last, once there is one."""
+
+    def handle(self, now: int, events: list[Event]) -> list[Action]:
+        actions = super().handle(now, events)
+        newest = max(self.list.values(), key=lambda e: e.started, default=None)
+        if newest is None or not newest.started:
+            return actions
+        return [replace(a, server=newest.server) if isinstance(a, Send) else a for a in actions]
+
+
+def without_ceiling(settings: Settings, seed: int) -> Gateway:
+    """A module that was told of no quota and no ceiling."""
+    plans = tuple(replace(p, rate=0.0, ceiling_rate=0.0, open_limit=0) for p in settings.plans)
+    return Gateway(replace(settings, plans=plans), seed)
+
+
+def answers_twice(program: Program) -> None:
+    reply = Client.reply
+
+    def twice(self: Client, request: ClientRequest, *parts: Any) -> None:
+        first = not request.answer
+        reply(self, request, *parts)
+        if first and request.answer and self.transport is not None and not self.transport.is_closing():
+            self.transport.write(request.answer)
+
+    take = program.door.take
+
+    def taken(request: ClientRequest) -> None:
+        where = request.where  # this connection alone: the class is left as it is
+        where.reply = lambda *parts: twice(where, *parts)  # type: ignore[method-assign]
+        take(request)
+
+    setattr(program.door, "take", taken)  # noqa: B010 - mypy knows the method's own names
+
+
+def never_answers_some(program: Program) -> None:
+    """One request in ten is forgotten, and the door's own guard with it."""
+    door, take, count = program.door, program.door.take, [0]
+
+    def forget(request: ClientRequest) -> None:
+        count[0] += 1
+        if count[0] % 10:
+            take(request)
+
+    setattr(door, "take", forget)  # noqa: B010 - as above
+
+
+def answers_itself(program: Program) -> None:
+    """Serves a made-up answer."""
+    def take(self: Door, request: ClientRequest) -> None:
+        request.reply(200, b"surely fine")
+
+    program.door.take = take.__get__(program.door)  # type: ignore[method-assign]
+
+
+def test_the_real_module_keeps_all_rules_on_that_day() -> None:
+    run = played(DAY)
+    assert [b.text() for b in run.verdict.breaches] == []
+    assert run.verdict.looked[Rule.ANSWERS] > 200
+    assert all(run.verdict.looked[rule] > 0 for rule in Rule), run.verdict.looked
+
+
+def test_an_unsafe_request_sent_again_is_caught() -> None:
+    run = played(DAY, make=SendsAgain)
+    assert Rule.EFFECTS in run.verdict.broken()
+    breach = next(b for b in run.verdict.breaches if "unsafe" in b.what)
+    assert len(breach.boxes) == 2 and breach.request
+
+
+def test_a_refusal_of_what_may_have_run_is_caught() -> None:
+    run = played(SMALL, make=RefusesAfterSending)
+    assert any(b.rule is Rule.EFFECTS and "refused" in b.what for b in run.verdict.breaches)
+
+
+def test_sends_after_the_grace_are_caught() -> None:
+    run = played(DAY, make=KeepsDraining)
+    assert run.verdict.broken() == {Rule.DRAINS}
+
+
+def test_a_flooded_cold_box_is_caught() -> None:
+    run = played(DAY, make=FloodsCold)
+    assert Rule.COLD in run.verdict.broken()
+    assert "4 times its capacity" in next(b for b in run.verdict.breaches if b.rule is Rule.COLD).figure
+
+
+def test_a_passed_ceiling_is_caught() -> None:
+    run = played(SMALL, make=without_ceiling)
+    assert run.verdict.broken() == {Rule.CEILINGS}
+    assert "mall" in run.verdict.breaches[0].what
+
+
+def test_two_answers_are_caught() -> None:
+    run = played(SMALL, spoil=answers_twice)
+    assert Rule.ANSWERS in run.verdict.broken()
+    assert any("more than once" in b.what for b in run.verdict.breaches)
+
+
+def test_no_answer_is_caught() -> None:
+    run = played(SMALL, spoil=never_answers_some)
+    assert run.verdict.broken() == {Rule.ANSWERS}
+    assert any(b.what == "never answered" for b in run.verdict.breaches)
+
+
+def test_an_answer_that_no_box_made_is_caught() -> None:
+    run = played(SMALL, spoil=answers_itself)
+    assert run.verdict.broken() == {Rule.ANSWERS}
+    assert all("no box made" in b.what for b in run.verdict.breaches)
--- /dev/null
+++ b/tests/test_demo.py
@@ -0,0 +1,211 @@
+"""The demo with real doors as processes: what a person sees, how it ends, and what it leaves behind."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+import uvloop
+
+from irisdeal.demo.processes import CannotRun, Deploy, DoorProcesses, find_deploy
+from irisdeal.standins.audit import audit
+from irisdeal.standins.books import Attempt, End
+from irisdeal.standins.platform import Platform
+from irisdeal.standins.scenario import parse
+from irisdeal.standins.schedule import draw
+from irisdeal.standins.terminals import Terminals
+from tests.rig import SMALL
+
+ROOT = Path(__file__).parent.parent
+HERE = Deploy(ROOT, f"exec {sys.executable} -m irisdeal")
+
+
+def deploy_file(folder: Path, run: str = HERE.run) -> Path:
+    """A deployment whose doors run on the tests' own interpreter."""
+    (folder / "deploy").mkdir()
+    path = folder / "deploy" / "balancer.toml"
+    path.write_text(f'run = "cd {ROOT} && {run}"\n')
+    return path
+
+
+def demo(*arguments: str) -> subprocess.CompletedProcess[str]:
+    command = [sys.executable, "-m", "irisdeal.cli.main", "demo", *arguments]
+    return subprocess.run(command, cwd=ROOT, text=True,
+                          capture_output=True, timeout=60, check=False)
+
+
+def exists(pid: int) -> bool:
+    try:
+        os.kill(pid, 0)
+    except ProcessLookupError:
+        return False
+    return True
+
+
+def test_a_short_day_is_played_told_and_leaves_nothing(tmp_path: Path) -> None:
+    out = tmp_path / "out.json"
+    scenario = tmp_path / "small.toml"
+    scenario.write_text('about = "small"\n' + SMALL)
+    done = demo("--scenario", str(scenario), "--seconds", "2", "--seed", "3", "--json", str(out),
+                "--deploy", str(deploy_file(tmp_path)))
+    assert done.returncode == 0, done.stdout + done.stderr
+    told = json.loads(out.read_text())
+    assert told["kept"] and told["service"]["whole"] > 0.5 and told["interrupted_after"] is None
+    assert told["rules"]["answers"]["looked_at"] > 100
+    assert len(told["doors_used"]) == 2
+    for used in told["doors_used"]:
+        assert used["requests"] > 20 and not any(exists(pid) for pid in used["pids"])
+        if sys.platform == "linux":
+            assert used["cpu_us_per_request"] > 0 and used["memory_bytes"] > 1e6 and used["descriptors"] > 5
+    for words in ("whole", "worst 10 s", "mall", "CPU", "no request is lost", "kept"):
+        assert words in done.stdout
+
+
+def test_ctrl_c_ends_it_in_good_order_with_what_was_measured(tmp_path: Path) -> None:
+    out = tmp_path / "out.json"
+    process = subprocess.Popen(
+        [sys.executable, "-m", "irisdeal.cli.main", "demo", "--seconds", "300", "--doors", "2",
+         "--json", str(out), "--deploy", str(deploy_file(tmp_path))],
+        cwd=ROOT, text=True, stdout=subprocess.PIPE, stderr=subprocess.PIPE, start_new_session=True)
+    bystander = subprocess.Popen([sys.executable, "-c", "input()"], stdin=subprocess.PIPE)
+    assert process.stderr is not None
+    line = process.stderr.readline()
+    assert line.startswith("2 doors are ready: processes ")
+    pids = [int(word) for word in line.rpartition("processes ")[2].split(", ")]
+    assert all(exists(pid) for pid in pids)
+    os.killpg(process.pid, signal.SIGINT)  # as a terminal does: the whole foreground group
+    stdout, stderr = process.communicate(timeout=30)
+    assert process.returncode == 0, stdout + stderr
+    told = json.loads(out.read_text())
+    assert "Interrupted after" in stdout and 0 <= told["interrupted_after"] < 60
+    assert not any(exists(pid) for pid in pids)
+    assert bystander.poll() is None
+    bystander.communicate(b"\n")
+
+
+@pytest.mark.parametrize(("arguments", "says"), [
+    (["--scenario", "nothing"], "nothing: no such scenario: wanted a file, or one of calm"),
+    (["--scenario", "nowhere/x.toml"], "nowhere/x.toml: No such file"),
+    (["--doors", "0"], "0 is not in the range 1<=x<=16"),
+    (["--seconds", "soon"], "'soon' is not a valid float"),
+    (["--deploy", "nowhere.toml"], "nowhere.toml: no such file"),
+    (["--json", "nowhere/out.json"], "cannot be written"),
+])
+def test_what_cannot_be_used_is_one_clear_error(arguments: list[str], says: str) -> None:
+    done = demo(*arguments)
+    assert done.returncode == 2 and says in done.stderr and "Traceback" not in done.stderr + done.stdout
+
+
+def test_a_door_that_does_not_start_is_told_with_its_last_words(tmp_path: Path) -> None:
+    path = deploy_file(tmp_path, "echo no luck today >&2; exit 3")
+    done = demo("--deploy", str(path))
+    assert done.returncode == 2 and "exit code 3" in done.stderr and "no luck today" in done.stderr
+
+
+def test_a_door_that_ends_by_itself_is_a_crash(tmp_path: Path) -> None:
+    program = "import sys; sys.argv = ['x']; import asyncio, threading, os;" \
+              "threading.Timer(1.5, lambda: os._exit(9)).start();" \
+              "from irisdeal.door.program import main; main()"
+    path = deploy_file(tmp_path, f"exec {sys.executable} -c \\\"{program}\\\"")
+    done = demo("--deploy", str(path), "--seconds", "3", "--doors", "1", "--json", "-")
+    assert done.returncode == 1, done.stderr
+    assert any("ended by itself with exit code 9" in text for text in json.loads(done.stdout)["crashes"])
+
+
+def test_the_list_names_every_scenario() -> None:
+    done = demo("--list")
+    assert done.returncode == 0 and "hall-cut" in done.stdout and "rolling-restart" in done.stdout
+
+
+def test_the_deployment_is_found_above_or_is_this_interpreter(tmp_path: Path) -> None:
+    inner = tmp_path / "a" / "b"
+    inner.mkdir(parents=True)
+    assert find_deploy(inner).run.endswith("-m irisdeal")
+    deploy_file(tmp_path)
+    assert find_deploy(inner).root == tmp_path
+    (tmp_path / "deploy" / "balancer.toml").write_text("run = 3\n")
+    with pytest.raises(CannotRun, match="run: wanted the line"):
+        find_deploy(inner)
+
+
+def test_a_door_killed_between_a_boxs_answer_and_the_clients_is_the_clients_to_retry(tmp_path: Path) -> None:
+    """Stopped while its box answers, then killed: the answer is made, and never passed on."""
+    text = SMALL.replace("share = 0.6", "share = 0.001").replace("share = 0.2", "share = 1", 1)
+    text = text.replace("window_ms = 600", "window_ms = 5000")
+
+    async def run() -> None:
+        platform = Platform(draw(parse(text), 1))
+        await platform.start()
+        doors = DoorProcesses(platform, HERE, tmp_path, 1)
+        terminals = Terminals(platform.day, platform.books, platform.now, doors.addresses)
+        doors.terminals = terminals
+        try:
+            await doors.start()
+            struck: list[Attempt] = []
+
+            async def strike() -> None:
+                victim = doors.doors[0].process
+                assert victim is not None
+                while not any(a.door == 0 and a.kind == "claim" and a.end is End.OPEN
+                              for a in platform.books.attempts):
+                    await asyncio.sleep(0.001)
+                os.kill(victim.pid, signal.SIGSTOP)
+                held = [a for a in platform.books.attempts if a.door == 0 and a.end is End.OPEN]
+                while not any(a.end is End.SERVED for a in held):
+                    await asyncio.sleep(0.001)
+                struck.extend(a for a in held if a.end is End.SERVED)
+                await doors.kill(0, 0.1)
+
+            striking = asyncio.ensure_future(strike())
+            await terminals.run(platform.now())
+            await striking
+            await doors.stop()
+        finally:
+            doors.kill_all()
+            terminals.close()
+            platform.close()
+        verdict = audit(platform.books, platform.figures)
+        assert [b.text() for b in verdict.breaches] == []
+        assert struck and verdict.excused >= 1
+        lost = [t for t in platform.books.taken if t.trace == struck[0].trace]
+        assert lost and not lost[0].answers and lost[0].cut
+        assert [life.killed > 0 for life in platform.books.doors if life.door == 0] == [True, False]
+
+    uvloop.run(run())
+
+
+def test_a_platform_door_imports_nothing_of_the_tool() -> None:
+    code = ("import sys, irisdeal.door.program, irisdeal.__main__;"
+            "print([m for m in sys.modules if m.partition('.')[0] in ('click', 'rich', 'tomllib') or "
+            "m.startswith(('irisdeal.standins', 'irisdeal.demo', 'irisdeal.cli'))])")
+    done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
+    assert done.stdout.strip() == "[]"
+
+
+def test_help_has_an_example() -> None:
+    done = demo("--help")
+    assert done.returncode == 0 and "Example: irisdeal demo" in done.stdout
+
+
+@pytest.mark.parametrize("what", [["box"], ["keeper"], ["roster", "--member", "127.0.0.1:9"],
+                                  ["relay", "--to", "127.0.0.1:9"]])
+def test_each_stand_in_runs_alone(what: list[str]) -> None:
+    process = subprocess.Popen([sys.executable, "-m", "irisdeal.standins", *what], cwd=ROOT, text=True,
+                               stdout=subprocess.PIPE)
+    assert process.stdout is not None
+    assert json.loads(process.stdout.readline())["addresses"][0].startswith("127.0.0.1:")
+    process.send_signal(signal.SIGINT)
+    book, _ = process.communicate(timeout=20)
+    assert process.returncode == 0 and isinstance(json.loads(book), dict)
+
+
+def test_a_stand_in_that_cannot_be_used_says_so() -> None:
+    done = subprocess.run([sys.executable, "-m", "irisdeal.standins", "box", "--scenario", "none"], cwd=ROOT,
+                          capture_output=True, text=True, check=False)
+    assert done.returncode == 2 and done.stderr.startswith("standins: none: no such scenario")
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -5,12 +5,13 @@
 import os
 import signal
 import sys
+import time
 from pathlib import Path
 from typing import Any
 
 import pytest
 
-from cresspulley.interface import Action, Arrival, Event, Refuse, Send
+from cresspulley.interface import Action, Arrival, Event, Refuse, Send, Wake, Woken
 from irisdeal.door.config import ConfigError, load
 from tests.peers import (
     Peer, Script, answer, ask, member, read_message, running, send_all, settings, socket_test, whole_list)
@@ -34,6 +35,23 @@
         assert (await door.call(good))[0].split()[1] == "429"
 
 
+@socket_test
+async def test_a_loop_that_stood_still_lets_the_module_answer_first() -> None:
+    # Its wake and the door's guard are due in the same turn then; the guard's answer promises nothing.
+    def due(event: Event) -> list[Action]:
+        if isinstance(event, Arrival):
+            return [Wake(event.time_left - 4_000)]
+        return [Refuse(1)] if isinstance(event, Woken) else []
+
+    script = Script(due)
+    async with running(script) as door:
+        reader, writer = await door.client()
+        writer.write(ask(X_Expires_In="60m"))
+        await script.wait_for(Arrival)
+        time.sleep(0.1)  # past the request's time and the grace: nothing of this loop runs meanwhile
+        assert (await read_message(reader))[0].split()[1] == "429"
+
+
 @socket_test
 async def test_an_action_that_cannot_be_done_stops_no_other() -> None:
     def odd(event: Event) -> list[Action]:
--- /dev/null
+++ b/tests/test_service.py
@@ -0,0 +1,88 @@
+"""What the stores got, reckoned from books written by hand."""
+
+from __future__ import annotations
+
+import pytest
+
+from irisdeal.standins.books import SECOND, Answer, Attempt, Books, End, Taken
+from irisdeal.standins.scenario import Scenario, parse
+from irisdeal.standins.service import Bucket, reckon
+
+TEXT = """
+seconds = 30
+[[class]]
+name = "check"
+share = 1
+work_ms = 50
+aim_ms = 100
+deadline_ms = 1000
+late_worth = 0.2
+[[plan]]
+name = "p"
+share = 1
+rate = 1
+burst_s = 2
+price = 2.0
+"""
+START = 1000 * SECOND
+
+
+def scenario() -> Scenario:
+    return parse(TEXT)
+
+
+def books(*tries: tuple[int, int, int, int]) -> Books:
+    """Each try: ask, attempt, ms of its moment, ms that its good answer took (0: refused)."""
+    made = Books()
+    for ask, attempt, at, took in tries:
+        due = START + at * 1000
+        trace = f"{ask}-{attempt}"
+        answer = Answer(due + max(1, took) * 1000, 200 if took else 429, b"")
+        made.taken.append(Taken(trace, ask, attempt, "", "check", "p", 1, 1.0, 0, due, SECOND, due, [answer]))
+        if took:
+            made.attempts.append(Attempt(
+                trace, "", "check", "p", 1, 1.0, 0, "s", "a", 0, 1, due, due, 50_000, True, True, End.SERVED,
+                due + took * 1000))
+    return made
+
+
+def test_all_in_time_is_one() -> None:
+    service = reckon(books((1, 0, 2000, 50), (2, 0, 4000, 50)), scenario(), START)
+    assert (service.whole.share, service.worst, service.first_tries) == (1.0, 1.0, 2)
+    assert service.percentile(0.5) == 50.0
+
+
+def test_late_earns_its_part_and_refused_nothing() -> None:
+    service = reckon(books((1, 0, 2000, 500), (2, 0, 4000, 0)), scenario(), START)
+    assert service.whole.share == pytest.approx(0.1)
+    assert service.refused == 1
+
+
+def test_a_retry_belongs_to_its_first_try() -> None:
+    service = reckon(books((1, 0, 2000, 0), (1, 1, 2040, 50)), scenario(), START)
+    assert (service.first_tries, service.tries, service.whole.share) == (1, 2, 1.0)
+
+
+def test_beyond_the_quota_is_not_offered_and_earns_nothing() -> None:
+    service = reckon(books(*((n, 0, 2000 + n, 50) for n in range(4))), scenario(), START)
+    assert service.whole.offered == 2 * 2.0 and service.whole.share == 1.0  # two units in the store
+    assert service.beyond_units == 0.5
+
+
+def test_the_first_second_does_not_count() -> None:
+    service = reckon(books((1, 0, 500, 0), (2, 0, 2000, 50)), scenario(), START)
+    assert (service.first_tries, service.whole.share) == (1, 1.0)
+
+
+def test_the_worst_ten_seconds_are_found() -> None:
+    tries = [(n, 0, 1000 * n + 100, 0 if 15 <= n < 20 else 50) for n in range(1, 30)]
+    service = reckon(books(*tries), scenario(), START)
+    assert service.worst == pytest.approx(0.5) and 9.0 <= service.worst_at <= 15.0
+
+
+def test_a_bucket_counts_units_and_attempts_out() -> None:
+    bucket = Bucket(1.0, 2.0, 1)
+    assert bucket.take(0, 1.0, 5 * SECOND)
+    assert not bucket.take(SECOND, 1.0, SECOND)  # one is out
+    assert bucket.take(6 * SECOND, 2.0, 6 * SECOND)
+    assert not bucket.take(7 * SECOND, 2.0, 8 * SECOND)  # one unit is back
--- /dev/null
+++ b/tests/test_standin_models.py
@@ -0,0 +1,216 @@
+"""The pure parts of the stand-ins, on a clock that the test owns."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from irisdeal.standins.audit import Figures
+from irisdeal.standins.books import SECOND, Life
+from irisdeal.standins.boxmodel import BoxModel, Done, HallMemory, Job, Meter, Verdict
+from irisdeal.standins.keeper import KeeperModel, read_call
+from irisdeal.standins.roster import Ledger, Member
+from irisdeal.standins.scenario import KeeperSpec
+from irisdeal.standins.schedule import Machine
+
+FIGURES = Figures({}, {}, 8_000, SECOND, 4.0, 2 * SECOND, {})
+FAR = 10**15
+
+
+def machine(**changes: object) -> Machine:
+    base: dict[str, object] = {
+        "number": 0, "hall": "a", "kind": "std", "cell": 0, "cores": 2, "speed": 1.0, "slots": 4, "queue": 2,
+        "cold_from": 0.25, "cold": 10 * SECOND, "error_rate": 0.0}
+    return Machine(**{**base, **changes})  # type: ignore[arg-type]
+
+
+def box(at: int = 0, **changes: object) -> BoxModel:
+    drawn = machine(**changes)
+    life = Life("s", "a", 0, at, drawn.capacity, drawn.cold_from, drawn.cold)
+    return BoxModel(drawn, FIGURES, life, now=at)
+
+
+def job(work: int, deadline: int = FAR) -> Job:
+    return Job(work, deadline, 0)
+
+
+def test_two_cores_serve_two_at_full_speed_and_four_at_half() -> None:
+    model = box()
+    for _ in range(2):
+        model.arrive(job(1000))
+    assert [j.work for j, _ in model.advance(999)] == []
+    assert len(model.advance(1001)) == 2
+    for _ in range(4):
+        model.arrive(job(1000))
+    assert model.advance(1001 + 1990) == []
+    assert len(model.advance(1001 + 2010)) == 4
+
+
+def test_past_slots_and_waiting_room_it_is_full() -> None:
+    model = box()
+    verdicts = [model.arrive(job(1000)) for _ in range(7)]
+    assert verdicts == [Verdict.TAKEN] * 6 + [Verdict.FULL]
+
+
+def test_overdue_in_the_waiting_room_never_runs() -> None:
+    model = box(slots=1, cores=1)
+    model.arrive(job(1000))
+    model.arrive(job(1000, deadline=500))
+    ends = model.advance(5000)
+    assert [done for _, done in ends] == [Done.SERVED, Done.EXPIRED]
+
+
+def test_hung_it_takes_and_ends_nothing_until_it_goes_on() -> None:
+    model = box()
+    model.hung = True
+    assert model.arrive(job(1000)) is Verdict.TAKEN
+    assert model.advance(SECOND) == [] and model.next_end() is None
+    model.hung = False
+    assert len(model.advance(SECOND + 1001)) == 1
+
+
+def test_a_cold_box_has_its_share_at_the_start_and_all_at_the_end() -> None:
+    start = 100 * SECOND
+    model = box(at=start, cores=1)
+    assert model.life.now(start) == pytest.approx(0.25)
+    assert model.life.now(start + 5 * SECOND) == pytest.approx(0.625)
+    assert model.life.now(start + 11 * SECOND) == 1.0
+    model.arrive(job(100_000))
+    model.advance(start + 370_000)  # 0.25 t + 0.0375 t² = 0.1 s of work at t = 0.379 s
+    assert model.running
+    model.advance(start + 385_000)
+    assert not model.running
+
+
+def test_pushed_over_its_budget_it_falls_over() -> None:
+    start = 100 * SECOND
+    model = box(at=start, slots=100, queue=1000)
+    # 2 cores x 0.25 x 4 x 2 s = 4 s of work in a window, and one largest request more
+    verdicts = [model.arrive(job(SECOND // 2)) for _ in range(10)]
+    assert verdicts[:9] == [Verdict.TAKEN] * 9 and verdicts[9] is Verdict.FALLEN
+    warm = box(slots=100, queue=1000)
+    assert Verdict.FALLEN not in [warm.arrive(job(SECOND)) for _ in range(50)]
+
+
+@given(st.lists(st.tuples(st.integers(0, 20_000), st.integers(100, 60_000)), min_size=1, max_size=40),
+       st.lists(st.integers(1, 30_000), max_size=40))
+def test_all_that_is_taken_ends_once_and_no_work_is_lost(
+    jobs: list[tuple[int, int]], looks: list[int],
+) -> None:
+    model, at, taken, ended, latest = box(slots=3, queue=50), 0, 0, [], 0
+    for pause, work in jobs:
+        at += pause
+        ended += model.advance(at)
+        taken += model.arrive(job(work)) is Verdict.TAKEN
+    for pause in looks:
+        at += pause
+        ended += model.advance(at)
+    while (due := model.next_end()) is not None:
+        ended += model.advance(due)
+        latest = due
+    assert len(ended) == taken == len({id(j) for j, _ in ended})
+    total = sum(j.work for j, _ in ended)
+    assert latest == 0 or model.now * 2 >= total - 2 * len(ended) - 2  # two cores do no more than that
+
+
+def test_a_hall_remembers_a_key_for_its_window() -> None:
+    memory = HallMemory(5 * SECOND)
+    assert memory.first("k", 0)
+    assert not memory.first("k", 5 * SECOND - 1)
+    assert memory.first("k", 5 * SECOND)
+    for n in range(10_000):
+        memory.first(f"k{n}", 100 * SECOND + n * 1000)
+    assert len(memory.seen) <= 5001
+
+
+def test_the_meter_tells_late_and_counts_a_try_once() -> None:
+    meter = Meter(SECOND, SECOND // 2, {"p": 10.0})
+    for _ in range(3):
+        meter.add("t1", "p", 7, 4.0, 200_000)
+    meter.add("t2", "p", 7, 1.0, 900_000)
+    assert meter.percent("p", 7, 1_400_000) == 0  # over, and not added up yet
+    assert meter.percent("p", 7, 1_600_000) == 50
+    assert meter.percent("p", 7, 2_600_000) == 0
+    for n in range(1000):
+        meter.add(f"x{n}", "p", n, 1.0, (3 + n) * SECOND)
+    assert len(meter.sums) < 5 and len(meter.counted) < 20
+
+
+# The count keeper
+
+
+def test_the_keeper_adds_forgets_and_turns_away() -> None:
+    model = KeeperModel(KeeperSpec(calls_per_s=100, parts=1, call_ms=1, queue_ms=20))
+    assert model.add("n", 2.0, SECOND, 0) == 2.0
+    assert model.add("n", 1.5, 60 * SECOND, SECOND - 1) == 3.5  # later calls do not extend its life
+    assert model.add("n", 1.0, SECOND, SECOND) == 1.0
+    dues = [model.serve("n", 10 * SECOND) for _ in range(4)]
+    assert dues == [10 * SECOND + 11_000, 10 * SECOND + 21_000, 10 * SECOND + 31_000, None]
+
+
+def test_slow_is_slower_and_a_flush_takes_its_share() -> None:
+    model = KeeperModel(KeeperSpec(calls_per_s=100, parts=1, call_ms=1, queue_ms=20), slower=5.0)
+    assert model.serve("n", 0) == 51_000
+    for n in range(100):
+        model.add(f"n{n}", 1.0, 60 * SECOND, 0)
+    assert model.flush(0.8, random.Random(1)) == 80
+    assert len(model.counts) == 20
+
+
+def test_a_keepers_memory_is_that_of_the_names_that_live() -> None:
+    model = KeeperModel(KeeperSpec())
+    for second in range(200):
+        for n in range(20):
+            model.add(f"{second}-{n}", 1.0, 5 * SECOND, second * SECOND)
+    assert len(model.counts) <= 20 * 7
+
+
+@pytest.mark.parametrize("line", [
+    b"", b"tally", b"tally n 1", b"tally n x 10", b"tally n nan 10", b"tally n 1_0 10", b"tally n 2e9 10",
+    b"tally n 1 0", b"tally n 1 -5", b"tally  n 1 5", b"tally " + b"n" * 65 + b" 1 5", b"add n 1 5",
+    b"\xff n 1 5",
+])
+def test_what_is_no_call_is_an_error(line: bytes) -> None:
+    assert read_call(line) is None
+
+
+def test_a_call_is_read_with_its_life_cut_to_a_minute() -> None:
+    assert read_call(b"tally a.b -2.5 4000") == ("a.b", -2.5, 4 * SECOND)
+    assert read_call(b"tally n 1e3 600000") == ("n", 1000.0, 60 * SECOND)
+
+
+# The roster
+
+
+def member(name: str, phase: str = "Ready") -> Member:
+    return Member(name, "a", "std", 0, phase, 0, (1, 2))
+
+
+def test_an_agent_tells_what_it_was_sent_and_no_more() -> None:
+    ledger = Ledger()
+    ledger.change(member("s1"), member("s2"))
+    ledger.fill(range(2))
+    revision = ledger.change(member("s1", "Terminating"))
+    assert [m.phase for m in ledger.whole(0)[1]] == ["Ready", "Ready"]
+    assert ledger.push(0, revision) and not ledger.push(0, revision)
+    reached, told, whole = ledger.since(0, revision - 1)
+    assert (reached, [(m.box, m.phase) for m in told], whole) == (revision, [("s1", "Terminating")], False)
+    assert ledger.since(1, revision - 1)[1] == []
+    last = ledger.change(member("s1", "Gone"))
+    ledger.push(1, last)  # a lost push: the next one brings both, the last word counts
+    assert [(m.box, m.phase) for m in ledger.since(1, revision - 1)[1]] == [("s1", "Gone")]
+    assert [m.box for m in ledger.whole(1)[1]] == ["s2"]
+
+
+def test_who_is_too_far_behind_or_ahead_gets_the_whole_list() -> None:
+    ledger = Ledger()
+    ledger.change(member("s0"))
+    ledger.fill(range(1))
+    for n in range(1500):
+        ledger.push(0, ledger.change(member(f"s{n % 5}")))
+    assert len(ledger.history) <= 1000
+    assert ledger.since(0, 2)[2]
+    assert ledger.since(0, 10**9)[2]
--- /dev/null
+++ b/tests/test_standin_sockets.py
@@ -0,0 +1,450 @@
+"""The stand-ins on real sockets, each alone, with their faults; and the hard cases of a whole platform."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from contextlib import suppress
+from typing import cast
+
+import pytest
+import uvloop
+
+from irisdeal.standins.audit import Rule
+from irisdeal.standins.books import Books, Clock, End, Told
+from irisdeal.standins.keeper import Keeper
+from irisdeal.standins.platform import Platform
+from irisdeal.standins.relay import Condition, Relay
+from irisdeal.standins.roster import Member, Roster
+from irisdeal.standins.scenario import KeeperSpec, RosterSpec, parse
+from irisdeal.standins.schedule import draw
+from irisdeal.standins.terminals import Terminals
+from tests.peers import ask, read_message, socket_test
+from tests.rig import SMALL, play
+
+ONE = range(1)
+
+
+async def opened(port: int) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    return await asyncio.open_connection("127.0.0.1", port)
+
+
+async def gone(reader: asyncio.StreamReader) -> bool:
+    with suppress(ConnectionError):
+        return await reader.read() == b""
+    return True
+
+
+# The count keeper
+
+
+@socket_test
+async def test_the_keeper_speaks_its_lines_in_order() -> None:
+    keeper = Keeper(KeeperSpec(), Clock(), 1)
+    await keeper.start(ONE)
+    reader, writer = await opened(keeper.ports[0])
+    writer.write(b"tally a 2 4000\r\nping\r\ntally a -0.5 4000\r\nno call\r\n")
+    lines = [await reader.readline() for _ in range(4)]
+    assert lines == [b"ok 2\r\n", b"pong\r\n", b"ok 1.5\r\n", b"error\r\n"]
+    keeper.spoil = 1.0
+    writer.write(b"tally a 1 4000\r\n")
+    assert not (await reader.readline()).split()[1].isdigit()
+    assert keeper.model.counts["a"][0] == 2.5
+    keeper.close()
+    assert await gone(reader)
+
+
+@socket_test
+async def test_an_answer_whose_caller_has_gone_is_counted_all_the_same() -> None:
+    keeper = Keeper(KeeperSpec(call_ms=40), Clock(), 1)
+    await keeper.start(ONE)
+    _, writer = await opened(keeper.ports[0])
+    writer.write(b"tally a 2 4000\r\n")
+    while not keeper.calls:
+        await asyncio.sleep(0)
+    writer.transport.abort()
+    while not keeper.late:
+        await asyncio.sleep(0.001)
+    assert keeper.model.counts["a"][0] == 2.0
+    keeper.close()
+
+
+@socket_test
+async def test_the_keeper_refuses_and_returns_empty_or_not_and_moves() -> None:
+    keeper = Keeper(KeeperSpec(), Clock(), 1)
+    await keeper.start(ONE)
+    port = keeper.ports[0]
+    for empty, total in ((False, b"ok 2\r\n"), (True, b"ok 1\r\n")):
+        reader, writer = await opened(port)
+        writer.write(b"tally a 1 4000\r\n")
+        await reader.readline()
+        keeper.refuse()
+        assert await gone(reader)
+        with pytest.raises(ConnectionError):
+            await opened(port)
+        await keeper.restart(ONE, empty)
+        reader, writer = await opened(port)
+        writer.write(b"tally a 1 4000\r\n")
+        assert await reader.readline() == total
+    await keeper.move(ONE, patience=0.0)
+    assert keeper.ports[0] != port and await gone(reader)
+    keeper.close()
+
+
+@socket_test
+async def test_the_keeper_holds_32_connections_of_a_door() -> None:
+    keeper = Keeper(KeeperSpec(), Clock(), 1)
+    await keeper.start(ONE)
+    lines = [await opened(keeper.ports[0]) for _ in range(33)]
+    assert await gone(lines[32][0])
+    lines[0][1].write(b"ping\r\n")
+    assert await lines[0][0].readline() == b"pong\r\n"
+    keeper.close()
+
+
+@socket_test
+async def test_a_silent_keeper_answers_nothing_and_adds_nothing() -> None:
+    keeper = Keeper(KeeperSpec(), Clock(), 1)
+    await keeper.start(ONE)
+    reader, writer = await opened(keeper.ports[0])
+    keeper.silent = True
+    writer.write(b"tally a 1 4000\r\nping\r\n")
+    while not keeper.unanswered:
+        await asyncio.sleep(0)
+    keeper.silent = False
+    writer.write(b"tally b 1 4000\r\n")
+    assert await reader.readline() == b"ok 1\r\n" and set(keeper.model.counts) == {"b"}
+    keeper.close()
+
+
+# The roster
+
+
+def member(box: str, phase: str = "Ready") -> Member:
+    return Member(box, "hall-a", "std", 0, phase, 0, (9000,))
+
+
+async def get(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, query: str = "",
+) -> dict[str, object]:
+    writer.write(f"GET /catalog/members{query} HTTP/1.1\r\nHost: agent\r\n\r\n".encode())
+    line, _, body = await read_message(reader)
+    assert " 200 " in line
+    told: dict[str, object] = json.loads(body)
+    return told
+
+
+@socket_test
+async def test_a_watch_hears_of_changes_when_its_agent_does() -> None:
+    books = Books()
+    roster = Roster(RosterSpec(notice_s=0.0, spread_ms=0), books, Clock(), 1)
+    roster.ledger.change(member("s1"))
+    await roster.start(ONE)
+    reader, writer = await opened(roster.ports[0])
+    whole = await get(reader, writer)
+    assert whole["complete"] is True
+    watch = asyncio.ensure_future(get(reader, writer, f"?index={whole['revision']}&wait=20000"))
+    while not roster.agents[0].watches:
+        await asyncio.sleep(0)
+    roster.change(member("s1", "Terminating"))
+    told = await watch
+    assert told["complete"] is False and told["members"][0]["phase"] == "Terminating"  # type: ignore[index]
+    assert [(t.box, t.phase) for t in books.told] == [("s1", "Ready"), ("s1", "Terminating")]
+    empty = await get(reader, writer, f"?index={told['revision']}&wait=1")
+    assert empty["members"] == []
+    roster.close()
+
+
+@socket_test
+async def test_a_lost_push_comes_with_the_next_and_a_whole_list_tells_who_is_gone() -> None:
+    books = Books()
+    roster = Roster(RosterSpec(notice_s=0.0, spread_ms=0), books, Clock(), 1)
+    roster.ledger.change(member("s1"), member("s2"))
+    await roster.start(ONE)
+    reader, writer = await opened(roster.ports[0])
+    whole = await get(reader, writer)
+    roster.lose = 1.0
+    roster.change(member("s1", "Gone"))
+    await asyncio.sleep(0)
+    assert (await get(reader, writer, f"?index={whole['revision']}&wait=0"))["members"] == []
+    roster.lose = 0.0
+    roster.change(member("s3"))
+    while roster.ledger.reached[0] < roster.ledger.revision:
+        await asyncio.sleep(0)
+    await get(reader, writer)
+    assert Told(0, books.told[-3].at, "s1", "Gone", 0) in books.told
+    roster.close()
+
+
+@socket_test
+async def test_a_silent_roster_says_nothing_and_a_moved_one_lets_go() -> None:
+    roster = Roster(RosterSpec(notice_s=0.0, spread_ms=0), Books(), Clock(), 1)
+    await roster.start(ONE)
+    port = roster.ports[0]
+    reader, writer = await opened(port)
+    roster.set_silent(True)
+    writer.write(b"GET /catalog/members HTTP/1.1\r\nHost: agent\r\n\r\n")
+    while not any(c.busy for c in roster.agents[0].connections):
+        await asyncio.sleep(0)
+    roster.set_silent(False)
+    assert await gone(reader)  # that call is never answered
+    await roster.move(ONE)
+    assert roster.ports[0] != port
+    with pytest.raises(ConnectionError):
+        await opened(port)
+    roster.close()
+
+
+# The relay
+
+
+class Echo(asyncio.Protocol):
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)  # uvloop's is none by its type
+
+    def data_received(self, data: bytes) -> None:
+        self.transport.write(data)
+
+
+async def echoing(relay: Relay, source: str = "door", target: str = "hall") -> tuple[int, asyncio.Server]:
+    server = await asyncio.get_running_loop().create_server(Echo, "127.0.0.1", 0)
+    _, port = await relay.add(source, target, ("127.0.0.1", int(server.sockets[0].getsockname()[1])))
+    return port, server
+
+
+@socket_test
+async def test_a_silent_link_holds_and_then_goes_on() -> None:
+    relay = Relay(Clock(), [])
+    port, server = await echoing(relay)
+    reader, writer = await opened(port)
+    writer.write(b"one")
+    assert await reader.readexactly(3) == b"one"
+    relay.set(["hall"], Condition(silent=True))
+    writer.write(b"two")
+    while not any(side.held for side in relay.links[0].sides):
+        await asyncio.sleep(0)
+    _, late = await opened(port)  # silent is not cut: connections come up
+    relay.heal()
+    assert await reader.readexactly(3) == b"two"
+    late.close()
+    relay.close()
+    server.close()
+
+
+@socket_test
+async def test_a_cut_link_lets_no_connection_come_up_until_it_heals() -> None:
+    relay = Relay(Clock(), [])
+    port, server = await echoing(relay)
+    reader, writer = await opened(port)
+    relay.set(["hall"], Condition(cut=True))
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.3):
+            await opened(port)
+    writer.write(b"held")
+    relay.heal()
+    assert await reader.readexactly(4) == b"held"
+    again, to_again = await opened(port)
+    to_again.write(b"new")
+    assert await again.readexactly(3) == b"new"
+    relay.close()
+    server.close()
+
+
+@socket_test
+async def test_a_link_resets_delays_and_throttles() -> None:
+    relay = Relay(Clock(), [])
+    port, server = await echoing(relay)
+    loop = asyncio.get_running_loop()
+    reader, writer = await opened(port)
+    writer.write(b"x")
+    await reader.readexactly(1)
+    relay.set(["hall"], Condition(delay=0.05))
+    start = loop.time()
+    writer.write(b"x")
+    await reader.readexactly(1)
+    assert loop.time() - start >= 0.099
+    relay.set(["hall"], Condition(rate=10_000))
+    start = loop.time()
+    writer.write(b"x" * 1_000)
+    await reader.readexactly(1_000)
+    assert loop.time() - start >= 0.199  # 0.1 s each way
+    relay.links[0].reset()
+    assert await gone(reader)
+    relay.close()
+    server.close()
+
+
+@socket_test
+async def test_a_split_cuts_between_groups_alone() -> None:
+    relay = Relay(Clock(), [])
+    across, one = await echoing(relay, "door 0", "keeper")
+    inside, two = await echoing(relay, "door 1", "keeper")
+    relay.split(["door 0"], ["door 1", "keeper"])
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.2):
+            await opened(across)
+    reader, writer = await opened(inside)
+    writer.write(b"x")
+    assert await reader.readexactly(1) == b"x"
+    relay.close()
+    one.close()
+    two.close()
+
+
+@socket_test
+async def test_what_a_silent_link_holds_is_bounded() -> None:
+    relay = Relay(Clock(), [])
+    port, server = await echoing(relay)
+    _, writer = await opened(port)
+    relay.set(["hall"], Condition(silent=True))
+    while not relay.links[0].sides:
+        await asyncio.sleep(0)
+    for _ in range(64):
+        writer.write(b"x" * 262_144)
+    for _ in range(2_000):
+        await asyncio.sleep(0)
+    assert max(side.size for side in relay.links[0].sides) < 2_000_000
+    writer.transport.abort()
+    relay.close()
+    server.close()
+
+
+# A box
+
+
+async def platform(text: str = SMALL) -> Platform:
+    made = Platform(draw(parse(text), 1))
+    await made.start()
+    return made
+
+
+def check(trace: str, kind: str = "check") -> bytes:
+    request = ask("file" if kind != "check" else "look", trace, X_Qos=kind, Plan="plain")
+    return request
+
+
+@socket_test
+async def test_a_box_serves_reports_and_writes_its_book() -> None:
+    made = await platform()
+    box = made.boxes[0]
+    reader, writer = await opened(box.ports[1])
+    writer.write(check("t1"))
+    line, headers, body = await read_message(reader)
+    assert " 200 " in line and json.loads(body)["id"] == "t1"
+    assert headers["endpoint-load-metrics"].startswith("TEXT latency_ms=") and "usage-percent" in headers
+    attempt = made.books.attempts[0]
+    assert (attempt.trace, attempt.door, attempt.box, attempt.end, attempt.body) == (
+        "t1", 1, box.name, End.SERVED, body)
+    assert attempt.first_byte <= attempt.last_byte < attempt.ended
+    writer.write(b"GET /x HTTP/1.1\r\nHost: b\r\n\r\n")
+    assert " 404 " in (await read_message(reader))[0]
+    writer.write(check("t2", "nothing"))
+    assert " 400 " in (await read_message(reader))[0]
+    made.close()
+
+
+@socket_test
+async def test_one_hall_drops_a_repeat_of_a_key() -> None:
+    made = await platform()
+    same = [b for b in made.boxes if b.machine.hall == made.boxes[0].machine.hall]
+    other = next(b for b in made.boxes if b.machine.hall != made.boxes[0].machine.hall)
+    repeats = []
+    for n, box in enumerate((same[0], same[1], other)):
+        reader, writer = await opened(box.ports[0])
+        writer.write(check(f"t{n}", "claim"))
+        repeats.append(json.loads((await read_message(reader))[2])["repeat"])
+    assert repeats == [False, True, False]
+    made.close()
+
+
+@socket_test
+async def test_a_box_drains_crashes_and_comes_back_cold() -> None:
+    made = await platform()
+    box = made.boxes[0]
+    reader, writer = await opened(box.ports[0])
+    box.drain()
+    writer.write(check("t1"))
+    line, headers, _ = await read_message(reader)
+    assert " 503 " in line and headers["x-never-ran"] == "1"
+    box.crash()
+    assert await gone(reader)
+    with pytest.raises(ConnectionError):
+        await opened(box.ports[0])
+    await box.start(made.doors, cold=True)
+    reader, writer = await opened(box.ports[0])
+    writer.write(check("t2"))
+    assert " 200 " in (await read_message(reader))[0]
+    assert [a.life for a in made.books.attempts] == [0, 1]
+    assert made.books.lives[-1].at > 0
+    made.close()
+
+
+@socket_test
+async def test_a_new_box_at_anothers_old_address_is_itself_in_the_book() -> None:
+    made = await platform()
+    old = made.boxes[0]
+    old.crash()
+    new = await made._new_box(cold=True, instead=old)
+    assert new.ports == old.ports and new.name != old.name
+    assert (new.machine.hall, new.machine.cell) == (old.machine.hall, old.machine.cell)
+    reader, writer = await opened(old.ports[0])
+    writer.write(check("t1"))
+    assert json.loads((await read_message(reader))[2])["box"] == new.name
+    assert made.books.attempts[0].box == new.name
+    made.close()
+
+
+@socket_test
+async def test_a_hung_box_holds_and_answers_later() -> None:
+    made = await platform()
+    box = made.boxes[0]
+    box.set_hung(True)
+    reader, writer = await opened(box.ports[0])
+    writer.write(check("t1"))
+    while not made.books.attempts:
+        await asyncio.sleep(0)
+    assert made.books.attempts[0].end is End.OPEN
+    box.set_hung(False)
+    assert " 200 " in (await read_message(reader))[0]
+    made.close()
+
+
+# Whole days
+
+
+def test_a_link_that_falls_silent_with_hundreds_of_attempts_out_loses_no_request() -> None:
+    """Every box behind its link, slow enough that 200 attempts are out, then all links silent for good."""
+    text = SMALL.replace("work_ms = 12", "work_ms = 700").replace("work_ms = 20", "work_ms = 700")
+    text = text.replace("aim_ms = 400", "aim_ms = 2000").replace("aim_ms = 500", "aim_ms = 2000")
+    text = text.replace("deadline_ms = 900", "deadline_ms = 2500").replace("retries = 1", "retries = 0")
+    text = text.replace("boxes = 6", "boxes = 100").replace("cores = 2", "cores = 4")
+    text = text.replace("heavy = 0.5", "heavy = 0").replace("use = 0.25", "use = 0.8")
+    text = text.replace("seconds = 3", "seconds = 2")
+    text += '[[at]]\nat_s = 2\ndo = "hall-slow"\nhall = "hall-a"\nms = 0\nfor_s = 0\n'  # links, no fault
+    out = []
+
+    def silence(platform: Platform, _: Terminals) -> None:
+        loop = asyncio.get_running_loop()
+
+        def look() -> None:
+            count = sum(a.end is End.OPEN for a in platform.books.attempts)
+            if count >= 200:
+                out.append(count)
+                for link in platform.relay.links:
+                    link.set(Condition(silent=True))
+            elif not platform.closed:
+                loop.call_later(0.02, look)
+
+        loop.call_soon(look)
+
+    run = uvloop.run(play(text, during=silence))
+    assert out and out[0] >= 200
+    assert [b.text() for b in run.verdict.breaches] == []
+    assert all(taken.answers for taken in run.books.taken if taken.at)
+
+
+def test_a_hall_cut_off_breaks_no_rule_and_no_answer_is_missing() -> None:
+    run = uvloop.run(play(SMALL + '[[at]]\nat_s = 0.8\ndo = "hall-cut"\nhall = "hall-b"\nfor_s = 1.2\n'))
+    assert [b.text() for b in run.verdict.breaches] == []
+    assert run.verdict.looked[Rule.ANSWERS] > 200
+    assert {"hall-b is back"} <= {text for _, text in run.books.faults}
