Test: a reader of routes that says nothing or dies leaves the old routes in force

Need: what a door does when the process that reads its description is silent was bounded in the code and shown by no test. A named pipe in the description's place makes the reader wait for good; a program that ends at once stands for one that dies.

No code is touched.

--- a/tests/test_routed.py
+++ b/tests/test_routed.py
@@ -270,6 +270,30 @@
     on_loop(run)
 
 
+def test_a_reader_that_says_nothing_or_dies_is_left_and_the_old_routes_go_on(
+    file: Path, monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def run() -> None:
+        script = Script(lambda event: [Refuse(event.request)] if isinstance(event, Arrival) else [])
+        async with routed(file, script) as door:
+            router, settled = router_of(door), asyncio.Event()
+            router.on_settled = settled.set
+            monkeypatch.setattr("irisdeal.door.routed.READ_WITHIN", 0.5)
+            file.unlink()
+            os.mkfifo(file)  # opening it waits for a writer that never comes
+            router.load()
+            await settled.wait()
+            monkeypatch.setattr("irisdeal.door.routed.READ_WITHIN", 15.0)
+            monkeypatch.setattr("irisdeal.door.routed.sys.executable", "/bin/false")
+            settled.clear()
+            router.load()
+            await settled.wait()
+            assert (router.refused, router.table.number) == (2, 1)
+            assert (await door.call(request()))[0].split()[1] == "429"
+
+    on_loop(run)
+
+
 def test_an_open_request_keeps_its_class_and_gets_the_stricter_rule(file: Path) -> None:
     """Open on a keyed route that turns unsafe and vanishes: cost and times stay, the rule tightens."""
     script = Script(send_all)
