Terminals look before they write, and a stall counts for what was read in its midst

Need: on a rush the stand-ins' one loop runs 0.7 to 3 s late, and two of what they then booked as a door's breach was their own. And a stall is noted when it is over, so an answer read in the middle of it was judged without it ('answered too late', by 0.5 s in a stall of 0.6 s).

The audit counts each stall that overlaps the wait.

Ruled out: the door's late answers (no door's CPU was over a third of a core).

--- a/irisdeal/standins/http.py
+++ b/irisdeal/standins/http.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 from collections import deque
 from collections.abc import Callable
 from typing import Protocol, cast
@@ -142,6 +143,16 @@
     def usable(self) -> bool:
         return self.transport is not None and not self.transport.is_closing() and self.reusable
 
+    def ended(self) -> bool:
+        """Something waits to be read where no answer is due: the peer's end, mostly, which the loop has yet
+        to tell of. A client that looks before it writes does not lose a request to it.
+        """
+        if self.transport is None or self.transport.is_closing():
+            return True
+        poller = select.poll()
+        poller.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return bool(poller.poll(0))
+
     def write(self, data: bytes) -> None:
         assert self.transport is not None
         self.heard = 0
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -66,6 +66,10 @@
     two = [(SECOND + 300 * MS, 20 * MS), (LIMIT, 30 * MS)]  # each held up what was waited for
     assert broken(taken=late, stalls=two) == []
     assert broken(taken=late, stalls=two[:1]) == ["ANSWERS: answered too late"]
+    within = [(LIMIT + 400 * MS, 600 * MS)]  # noted when over; the answer was read in its midst
+    assert broken(taken=late, stalls=within) == []
+    behind = [(LIMIT + 400 * MS, 200 * MS)]
+    assert broken(taken=late, stalls=behind) == ["ANSWERS: answered too late"]
     before = [(SECOND - 1, 50 * MS)]  # it came behind that
     assert broken(taken=late, stalls=before) == ["ANSWERS: answered too late"]
 
