A full door refuses in a reserve and lets the rest wait, where it reset what it had accepted

Cause: with all client places taken the listener closed what it had just accepted; closed with its request unread, a connection is reset. Room was made by any connection that had not spoken, the one accepted a moment before among them.

Change: `irisdeal/overload/places.py` (pure) keeps the books of all places. A connection over the usual places goes into a reserve (a sixteenth of the descriptors, out of the backends' half), where its request is read whole and gets a usual place if one is free by then, else 503 with `Retry-After` and an end in good order. With the reserve taken too nothing is accepted. Only those make room that had time to speak and of which the kernel holds no unread byte; a silent one ends with 408, since its first request may be on its way. At its end the door takes what the kernel's queue holds before it closes the listening socket.

Checked and ruled out: late answers of the door, the kernel's queue (1,024) running over.

--- a/irisdeal/door/backends.py
+++ b/irisdeal/door/backends.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import select
 from collections.abc import Callable
 from typing import Any, cast
 
@@ -13,6 +12,7 @@
 from cresspulley.interface import LoadReport, Result
 from cresspulley.wire import COLUMNS
 from irisdeal.door.config import Address, Config
+from irisdeal.door.quiet import has_bytes
 
 log = logging.getLogger("irisdeal.backends")
 
@@ -177,9 +177,7 @@
         """Nothing has come since the last answer: what came would be taken for the next one."""
         if self.transport is None or self.transport.is_closing():
             return False
-        poller = select.poll()
-        poller.register(self.file, select.POLLIN)
-        return not poller.poll(0)
+        return not has_bytes(self.file)
 
     def _stall(self) -> None:
         if self.attempt is not None:
--- a/irisdeal/door/clients.py
+++ b/irisdeal/door/clients.py
@@ -7,7 +7,7 @@
 import math
 import re
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from functools import lru_cache
 from typing import Protocol, cast
 
@@ -16,6 +16,8 @@
 from cresspulley.interface import Plan, Repeat
 from irisdeal.door.config import Config
 from irisdeal.door.listener import Listener
+from irisdeal.door.quiet import has_bytes
+from irisdeal.overload.places import IDLE_FOR, SILENT_FOR, Places, Stage
 
 log = logging.getLogger("irisdeal.clients")
 
@@ -29,8 +31,7 @@
 MARGIN = 10_000  # µs of a client's time that the way here and back, and our own turn, may take
 SLOW_REQUEST = 1.5  # s for a request's bytes to come, and for the first byte of a connection
 IDLE_CONNECTION = 15.0  # s between requests
-# From this share of the places on, answers end their connections, and an idle one gets only so long.
-CROWDED, IDLE_IN_CROWD = 0.85, 2.0
+CROWDED = 0.85  # from this share of the places on, answers end their connections, and idle ones get IDLE_FOR
 LINGER = 1.0  # s that a client may take to read why its connection ends
 SWEEP = 0.25  # s
 # Headers that speak of one connection, or that are written anew.
@@ -144,6 +145,7 @@
         self.side = side
         self.parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self.transport: asyncio.Transport | None = None
+        self.file = -1
         self.waiting: deque[ClientRequest] = deque()
         self.in_message = self.in_trailer = self.closing = self.full = self.broken = self.paused = False
         self.spoke = False  # has sent a whole request
@@ -170,12 +172,11 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         transport = cast(asyncio.Transport, transport)  # uvloop's is none by its type
         self.transport = transport
-        if self.closing:  # it had to make room meanwhile
-            transport.abort()
+        self.file = transport.get_extra_info("socket").fileno()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.closing = True
-        self.side.connections.pop(self, None)
+        self.side.left(self)
         waiting, self.waiting, self.transport = self.waiting, deque(), None
         self.parser = None  # parser and connection hold each other
         for request in waiting:
@@ -227,6 +228,7 @@
 
     def on_message_begin(self) -> None:
         self.in_message, self.in_trailer, self.begun = True, False, self.side.now()
+        self.side.places.move(self, Stage.BUSY, self.begun)
         self._reset()
 
     def on_url(self, url: bytes) -> None:
@@ -281,6 +283,8 @@
         self.waiting.append(request)
         if len(self.waiting) > MOST_PIPELINED:  # all of one read come here, however many
             return request.reply(503, b"too many requests at once\n")
+        if not self.side.places.claim(self, self.since):
+            return self._turn_away(request)
         if self.url.partition(b"?")[0] == b"/_health":
             able = self.side.door.can_serve() and not self.side.draining
             return request.reply(200 if able else 503, b"ready\n" if able else b"not ready\n")
@@ -295,6 +299,13 @@
             if not request.answer:
                 request.reply(500, b"failed\n")
 
+    def _turn_away(self, request: ClientRequest) -> None:
+        """No place is free: refused before the module has seen it, so that nothing was sent on for it."""
+        request.then_close = self.closing = True
+        settings = self.side.config.settings
+        delay = min(round(self.side.places.advice(self.since) * 1e6), settings.longest_advice)
+        request.reply(503, b"no place: try again\n", retry_after(delay if settings.may_advise else 0))
+
     def _read(self, request: ClientRequest, parser: httptools.HttpRequestParser) -> None:
         """Check all that the protocol asks of a request; raise `Malformed` where it is not so."""
         side, named = self.side, self.named
@@ -367,16 +378,23 @@
             if done.then_close:
                 return self._linger() if self.broken else self._close()
         self.since = self.side.now()
+        if self.is_idle():
+            self.side.places.move(self, Stage.IDLE, self.since)
         self._read_on()
 
     def _close(self) -> None:
-        self.closing, self.ends_at = True, self.side.now() + LINGER
+        self._ends()
         if self.transport is not None:
             self.transport.close()
 
+    def _ends(self) -> None:
+        now = self.side.now()
+        self.closing, self.ends_at = True, now + LINGER
+        self.side.places.move(self, Stage.ENDING, now)
+
     def _linger(self) -> None:
         """Closed with bytes unread, a connection is reset, and the answer on its way is lost."""
-        self.ends_at = self.side.now() + LINGER
+        self._ends()
         if self.transport is not None:
             self.transport.write_eof()
             if self.paused:
@@ -403,9 +421,31 @@
     def is_idle(self) -> bool:
         return not (self.waiting or self.in_message)
 
+    def is_quiet(self) -> bool:
+        """Idle, and nothing waits to be read: closed over a request that has come, it would be reset."""
+        return self.is_idle() and self.transport is not None and not has_bytes(self.file)
+
     def retire(self) -> None:
-        """Close an idle connection."""
-        self._close()
+        """Close an idle connection; one whose next request has come already is read first."""
+        if self.is_quiet():
+            self._close()
+
+    def dismiss(self) -> None:
+        """End one that has said nothing, with an answer (RFC 9110, 15.5.9): its first request may be on its
+        way, and unlike a second one it would not be sent again. It is read to its end, so nothing is reset.
+        """
+        if self.is_quiet():
+            self._reject(Malformed(408, "no request came"))
+
+    def make_room(self) -> bool:
+        """Give its place to another, at once; whether it could."""
+        if self.transport is None or self.transport.get_write_buffer_size():
+            return False  # it is not open yet, or is owed what the kernel has not taken
+        if not (self.ends_at or self.is_quiet()):
+            return False
+        self.closing = True
+        self.transport.abort()
+        return True
 
     def check(self, now: float, longest_idle: float) -> None:
         """End what takes too long."""
@@ -417,7 +457,10 @@
                 self._reject(Malformed(408, "request came too slowly"))
                 for request in [r for r in self.waiting if not r.answer]:  # what is open ahead of it ends too
                     self.side.door.give_up(request)
-        elif self.is_idle() and now - self.since > (longest_idle if self.spoke else SLOW_REQUEST):
+        elif not self.spoke and self.is_idle():
+            if now - self.since > SLOW_REQUEST:
+                self.dismiss()
+        elif self.is_idle() and now - self.since > longest_idle:
             self.retire()
 
 
@@ -425,19 +468,23 @@
     """All client connections of this front door."""
 
     def __init__(
-        self, config: Config, door: Taker, most: int, loop: asyncio.AbstractEventLoop,
+        self, config: Config, door: Taker, most: int, reserve: int, loop: asyncio.AbstractEventLoop,
         now: Callable[[], float] | None = None,
     ) -> None:
-        self.config, self.door, self.most, self.loop = config, door, most, loop
+        self.config, self.door, self.loop = config, door, loop
         self.now = now or loop.time
         self.classes = {name.encode(): n for n, name in enumerate(config.classes)}
         self.plans = {name.encode(): n for n, name in enumerate(config.plans)}
         self.most_units = [most_units(plan) for plan in config.settings.plans]
-        self.connections: dict[Client, None] = {}
+        self.places: Places[Client] = Places(most, reserve)
         self.open_traces: set[bytes] = set()
         self.draining = False
         self.router: Router | None = None
-        self.listener = Listener(self.admit, loop)
+        self.listener = Listener(self.admit, loop, self.room)
+
+    @property
+    def connections(self) -> Collection[Client]:
+        return self.places.stages
 
     def listen(self) -> None:
         self.listener.listen(self.config.listen)
@@ -446,46 +493,64 @@
     def port(self) -> int:
         return self.listener.port()
 
-    def admit(self) -> Client | None:
-        """A new connection, if there is a place for it or another one makes room."""
-        if len(self.connections) >= self.most and not self._make_room():
-            return None
+    def admit(self) -> Client:
+        """A new connection; there is room for it."""
         client = Client(self)
-        self.connections[client] = None
+        self.places.enter(client, client.since)
         return client
 
-    def _make_room(self) -> bool:
-        """One that is silent or ends makes room, else the longest idle; the busy and the fresh stay."""
-        before = self.now() - IDLE_IN_CROWD
-        useless = (c for c in self.connections if c.ends_at or (c.is_idle() and not c.spoke))
-        idle = [c for c in self.connections if c.is_idle() and c.since < before]
-        client = next(useless, None) or min(idle, key=lambda c: c.since, default=None)
-        if client is None:
-            return False
-        del self.connections[client]
-        client.closing = True
-        if client.transport is not None:
-            client.transport.abort()
-        return True
+    def room(self) -> bool:
+        """Whether a connection that waits may be accepted; where all places are taken, one is made free."""
+        waiting = self.listener.socket
+        if self.places.room() or waiting is None or not has_bytes(waiting.fileno()):
+            return True  # with none waiting, nothing need be closed for it
+        asked = False
+        for client in self.places.candidates(self.now()):
+            stage = self.places.stages[client]
+            if stage is Stage.FRESH:
+                client.dismiss()  # it goes once it has read why
+                asked = True
+            elif asked and stage is Stage.IDLE:
+                break
+            elif client.make_room():
+                self.left(client)  # its descriptor is closed within this turn; `limits.OWN` has room for it
+                return True
+        return False
+
+    def left(self, client: Client) -> None:
+        """A connection has gone."""
+        self.places.leave(client, self.now())
+        self.listener.release()
 
     def crowded(self) -> bool:
-        return len(self.connections) > CROWDED * self.most
+        return len(self.places) > CROWDED * self.places.most
 
     def _sweep(self) -> None:
         self.loop.call_later(SWEEP, self._sweep)
         self.sweep()
 
     def sweep(self) -> None:
-        now, longest_idle = self.now(), IDLE_IN_CROWD if self.crowded() else IDLE_CONNECTION
+        now, longest_idle = self.now(), IDLE_FOR if self.crowded() else IDLE_CONNECTION
         for client in list(self.connections):
             client.check(now, longest_idle)
+        self.listener.release()  # some may have been silent long enough by now
 
     def stop_listening(self) -> None:
-        self.listener.close()
+        """Take what waits to be accepted, then nothing more."""
+        self.listener.finish()
 
     def retire_idle(self) -> None:
+        """Close what is idle; one that came just now gets the time to speak."""
+        fresh = self.now() - SILENT_FOR
         for client in [c for c in self.connections if c.is_idle()]:
-            client.retire()
+            if client.spoke:
+                client.retire()
+            elif client.since <= fresh:
+                client.dismiss()
+
+    def is_settled(self) -> bool:
+        """Nothing more can come: none is accepted, and whoever is still here ends."""
+        return self.listener.socket is None and all(client.ends_at for client in self.connections)
 
 
 def most_units(plan: Plan) -> float:
--- a/irisdeal/door/limits.py
+++ b/irisdeal/door/limits.py
@@ -9,15 +9,25 @@
 OWN = 40
 
 
+# Of what clients and backends share: connections beyond the clients' places, which are heard and refused. One
+# stays for the milliseconds of a request, so these few pass hundreds a second.
+RESERVE_SHARE, LEAST_RESERVE = 1 / 16, 4
+
+
 @dataclass(frozen=True, slots=True)
 class Limits:
     """The most connections of each kind; with our own they stay under the descriptors we may hold."""
 
     clients: int
+    reserve: int
     backends: int
 
 
 def share(sockets: int) -> Limits:
-    """Even halves: a third of all is asked for by clients' requests, and each of those needs a backend."""
+    """Even halves: a third of all is asked for by clients' requests, and each of those needs a backend.
+
+    The reserve is of the backends' half: connections there are opened anew at need.
+    """
     rest = max(16, sockets - OWN)
-    return Limits(clients=rest // 2, backends=rest - rest // 2)
+    reserve = max(LEAST_RESERVE, int(rest * RESERVE_SHARE))
+    return Limits(clients=rest // 2, reserve=reserve, backends=rest - rest // 2 - reserve)
--- a/irisdeal/door/listener.py
+++ b/irisdeal/door/listener.py
@@ -20,6 +20,7 @@
 BACKLOG = 1024
 BURST = 16  # connections accepted in one turn; the others wait for the next
 PAUSE = 0.05  # s without accepting when descriptors have run out all the same
+LOOK_AGAIN = 0.02  # s without accepting while no place is free, at most: one that is freed ends it
 
 
 class Accepted(Protocol):
@@ -32,12 +33,21 @@
 
 
 class Listener:
-    """Hands each accepted connection to what `admit` returns; None closes it."""
+    """Hands each accepted connection to what `admit` returns.
 
-    def __init__(self, admit: Callable[[], Accepted | None], loop: asyncio.AbstractEventLoop) -> None:
-        self.admit, self.loop = admit, loop
+    `room` says whether one may be accepted. While it says no, what waits stays in the kernel's queue:
+    accepted and closed, it would be reset, and a request already written would be lost.
+    """
+
+    def __init__(
+        self, admit: Callable[[], Accepted], loop: asyncio.AbstractEventLoop,
+        room: Callable[[], bool] = lambda: True,
+    ) -> None:
+        self.admit, self.loop, self.room = admit, loop, room
         self.socket: socket.socket | None = None
         self.tasks: set[asyncio.Task[None]] = set()
+        self.held = self.finishing = False
+        self.on_closed: Callable[[], None] = lambda: None
 
     def listen(self, address: Address) -> None:
         made = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
@@ -56,40 +66,54 @@
         assert self.socket is not None
         return int(self.socket.getsockname()[1])
 
+    def finish(self) -> None:
+        """Close once nothing waits any more: closing resets what the kernel still holds, requests and all."""
+        self.finishing = True
+        if not self.held:
+            self._accept()
+
     def close(self) -> None:
+        """At once."""
         if self.socket is not None:
             self.loop.remove_reader(self.socket)
             self.socket.close()
             self.socket = None
+            self.on_closed()
+
+    def release(self) -> None:
+        """There may be room again."""
+        if self.held and self.socket is not None:
+            self.held = False
+            self.loop.add_reader(self.socket, self._accept)
+            if self.finishing:  # an empty queue makes no socket readable
+                self._accept()
 
     def _accept(self) -> None:
         for _ in range(BURST):
-            if self.socket is None:
+            if self.socket is None or self.held:
                 return
+            if not self.room():
+                return self._pause(self.socket, LOOK_AGAIN)
             try:
                 made, _ = self.socket.accept()
             except (BlockingIOError, InterruptedError):
-                return
+                return self.close() if self.finishing else None
             except OSError as error:
                 if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
-                    return self._pause(self.socket, error)
+                    log.warning("cannot accept: %s", error)
+                    return self._pause(self.socket, PAUSE)
                 continue  # that one was gone before we came to it
-            if (client := self.admit()) is None:
-                made.close()
-            else:
-                task = self.loop.create_task(self._take_in(made, client))
-                self.tasks.add(task)  # the loop holds tasks weakly
-                task.add_done_callback(self.tasks.discard)
-
-    def _pause(self, listening: socket.socket, error: OSError) -> None:
+            task = self.loop.create_task(self._take_in(made, self.admit()))
+            self.tasks.add(task)  # the loop holds tasks weakly
+            task.add_done_callback(self.tasks.discard)
+        if self.finishing:
+            self.loop.call_soon(self._accept)
+
+    def _pause(self, listening: socket.socket, seconds: float) -> None:
         """The socket stays readable: without a pause the loop would do nothing else."""
-        log.warning("cannot accept: %s", error)
         self.loop.remove_reader(listening)
-        self.loop.call_later(PAUSE, self._resume, listening)
-
-    def _resume(self, listening: socket.socket) -> None:
-        if self.socket is listening:
-            self.loop.add_reader(listening, self._accept)
+        self.held = True
+        self.loop.call_later(seconds, self.release)
 
     async def _take_in(self, made: socket.socket, client: Accepted) -> None:
         try:
--- a/irisdeal/door/loop.py
+++ b/irisdeal/door/loop.py
@@ -72,7 +72,6 @@
         self.events = Batch()
         self.scheduled = self.list_known = False
         self.drain_by = 0  # when all must be answered; 0 while in service
-        self.on_quiet: Callable[[], None] = lambda: None
         self.on_refetch: Callable[[], None] = lambda: None
         self.on_over: Callable[[ClientRequest], None] = lambda _: None  # answered, and no attempt is out
         self.actions: dict[type, Callable[[Any], None]] = {
@@ -188,8 +187,6 @@
         if not request.out:
             self._over(number)
         self.unanswered -= 1
-        if not self.unanswered:
-            self.on_quiet()
 
     def _over(self, number: int) -> None:
         if (request := self.requests.pop(number, None)) is not None:
--- a/irisdeal/door/program.py
+++ b/irisdeal/door/program.py
@@ -29,6 +29,7 @@
 
 STILL_ACCEPTING = 0.5  # s after SIGTERM: connections go on coming
 ALL_ANSWERED = 3_300_000  # µs after SIGTERM: all is answered, with time to write before 3.5 s
+WIND_UP_STEP = 0.01  # s between two looks at what is still open
 LINES_PER_S = 50  # of the log: a flood of failures must not cost the CPU
 
 
@@ -56,7 +57,7 @@
         self.loop = loop
         self.pool = Pool(config, limits.backends, loop)
         self.door = Door(config, decider, self.pool, loop)
-        self.clients = ClientSide(config, self.door, limits.clients, loop)
+        self.clients = ClientSide(config, self.door, limits.clients, limits.reserve, loop)
         self.discovery = Discovery(config, self.door.listed)
         self.door.on_refetch = self.discovery.refetch
         self.router: Router | None = None
@@ -113,10 +114,17 @@
 
     def _stop_accepting(self) -> None:
         self.clients.stop_listening()
+        self._wind_up()
+
+    def _wind_up(self) -> None:
+        """Over once nothing is open and nothing can come; the drain's end bounds it."""
         self.clients.retire_idle()
-        self.door.on_quiet = self.over.set
-        if not self.door.unanswered:
+        settled = self.clients.is_settled() and not self.door.unanswered
+        if settled or self.door.clock.now() >= self.door.drain_by:
+            self.clients.listener.close()
             self.over.set()
+        else:
+            self.loop.call_later(WIND_UP_STEP, self._wind_up)
 
 
 async def serve(config: Config) -> int:
--- /dev/null
+++ b/tests/test_places.py
@@ -0,0 +1,96 @@
+"""Who has a place, who makes room and who is refused, on a clock of the test's own."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from irisdeal.overload.places import ENDED_FOR, IDLE_FOR, LOOK, SILENT_FOR, SILENT_IN_STORM, Places, Stage
+
+
+def test_the_oldest_that_nothing_is_owed_makes_room_and_whoever_has_begun_to_speak_never_does() -> None:
+    places: Places[str] = Places(4, 0)
+    for n, name in enumerate(("ends", "silent", "idle", "busy")):
+        places.enter(name, n / 128)
+    places.move("busy", Stage.BUSY, 0.125)
+    places.move("idle", Stage.IDLE, 0.125)
+    places.move("ends", Stage.ENDING, 0.125)
+    assert list(places.candidates(0.125)) == []
+    assert list(places.candidates(0.125 + SILENT_FOR)) == ["ends", "silent"]
+    assert list(places.candidates(0.125 + IDLE_FOR)) == ["ends", "silent", "idle"]
+    assert ENDED_FOR <= IDLE_FOR
+
+
+def test_in_a_storm_of_silent_connections_each_gets_less_time() -> None:
+    places: Places[int] = Places(4, 2)
+    for n in range(2):
+        places.enter(n, 0.0)
+    assert list(places.candidates(SILENT_IN_STORM)) == []
+    places.enter(2, 0.0)
+    assert list(places.candidates(SILENT_IN_STORM)) == [0, 1, 2]
+
+
+def test_one_in_the_reserve_is_refused_until_a_usual_place_is_free() -> None:
+    places: Places[int] = Places(1, 1)
+    places.enter(1, 0.0)
+    places.enter(2, 0.0)
+    assert not places.room()
+    assert places.claim(1, 0.0) and not places.claim(2, 0.0)
+    places.leave(1, 0.1)
+    assert places.room() and places.claim(2, 0.2)
+    places.enter(3, 0.3)
+    assert not places.claim(3, 0.3)
+
+
+def test_advice_grows_with_those_refused_and_shrinks_with_the_places_that_get_free() -> None:
+    def told(refused: int, freed: int) -> float:
+        places: Places[int] = Places(freed, 1)
+        for n in range(freed):
+            places.enter(n, 0.0)
+        places.enter(-1, 0.0)
+        for _ in range(refused):
+            places.claim(-1, 0.0)
+        for n in range(freed):
+            places.leave(n, 0.0)
+        return places.advice(0.0)
+
+    assert told(10, 1) == 11.0
+    assert told(10, 100) == 0.11
+    assert told(100, 100) == 1.01
+
+
+MOVES = st.lists(st.tuples(
+    st.sampled_from(["accept", "leave", "busy", "idle", "ending", "claim", "evict"]), st.integers(0, 30),
+    st.floats(0.0, 1.0)), max_size=200)
+
+
+@given(MOVES, st.integers(1, 6), st.integers(0, 3))
+def test_places_are_never_more_than_there_are_and_the_books_agree(
+    moves: list[tuple[str, int, float]], most: int, reserve: int,
+) -> None:
+    places: Places[int] = Places(most, reserve)
+    now, number, busy = 0.0, 0, set[int]()
+    for what, pick, later in moves:
+        now += later
+        here = list(places.stages)
+        one = here[pick % len(here)] if here else -1
+        if what == "accept" and places.room():
+            places.enter(number, now)
+            number += 1
+        elif what == "leave":
+            places.leave(one, now)
+            busy.discard(one)
+        elif what == "claim" and one >= 0:
+            before = places.usual
+            assert places.claim(one, now) or before == most
+        elif what == "evict":
+            found = list(places.candidates(now))
+            assert len(found) <= 3 * LOOK and not busy & set(found)
+            for key in found:
+                assert now - places.since[places.stages[key]][key] >= min(SILENT_IN_STORM, ENDED_FOR)
+        elif what in ("busy", "idle", "ending"):
+            places.move(one, Stage[what.upper()], now)
+            (busy.add if what == "busy" else busy.discard)(one)
+        assert len(places) <= most + reserve and places.usual <= most
+        assert sum(map(len, places.since.values())) == len(places)
+        assert set(places.spare) <= set(places.stages)
+        for entries in places.since.values():
+            assert list(entries.values()) == sorted(entries.values())
