Terminals in several processes, strangers, and a bound by capacity in each report

`connect-storm` and `slow-readers` are connections of no store. Each report says what the boxes' capacity alone would allow (`reference.py`: densest work first under Hall's condition for spans of slots; the derivation is at its top).

--- a/irisdeal/demo/processes.py
+++ b/irisdeal/demo/processes.py
@@ -19,6 +19,7 @@
 from pathlib import Path
 
 from irisdeal.standins.books import DoorLife
+from irisdeal.standins.crowd import Crowd
 from irisdeal.standins.platform import Platform
 from irisdeal.standins.terminals import Terminals
 
@@ -114,7 +115,7 @@
         self.platform, self.deploy, self.folder = platform, deploy, folder
         self.random = random.Random(seed)
         self.doors = [_Door(n, free_port(), folder / f"door-{n}.json") for n in platform.doors]
-        self.terminals: Terminals | None = None
+        self.terminals: Terminals | Crowd | None = None
         self.crashes: list[str] = []
         self.sampler: asyncio.Task[None] | None = None
         self.tasks: set[asyncio.Task[None]] = set()
--- a/irisdeal/demo/report.py
+++ b/irisdeal/demo/report.py
@@ -22,6 +22,7 @@
         "doors": day.scenario.doors, "boxes": day.scenario.fleet.boxes, "seconds": day.scenario.seconds,
         "interrupted_after": outcome.interrupted,
         "service": {
+            "by_capacity_alone": outcome.reference,
             "whole": service.whole.share, "worst_10s": service.worst, "worst_10s_at": service.worst_at,
             "by_class": {name: share.share for name, share in service.kinds.items()},
             "by_plan": {name: share.share for name, share in service.plans.items()},
@@ -46,6 +47,7 @@
         "rules": {
             rule.name.lower(): {"kept": not verdict.counts[rule], "breaches": verdict.counts[rule],
                                 "looked_at": verdict.looked[rule]} for rule in Rule},
+        "strangers": outcome.books.strangers,
         "excused": verdict.excused,
         "breaches": [breach.text(outcome.start) for breach in verdict.breaches],
         "kept": outcome.kept,
@@ -74,6 +76,7 @@
     table.add_row(*(f"{value:.3f}" for value in (
         service["whole"], service["worst_10s"], *service["by_class"].values(), *service["by_plan"].values())))
     console.print(table)
+    console.print(f"The boxes' capacity alone would allow {service['by_capacity_alone']:.3f} of it.")
     console.print(
         f"Served inside the quotas: {service['inside_per_s']:.1f} requests a second. Sent on beyond quotas: "
         f"{100 * service['beyond_quota']:.1f}% of the units.\n"
@@ -102,6 +105,9 @@
         console.print(table)
     for fault in told["faults"]:
         console.print(f"{fault['at']:7.2f} s  {fault['what']}")
+    if told["strangers"]:
+        ends = ", ".join(f"{count} {name}" for name, count in sorted(told["strangers"].items()))
+        console.print(f"Connections of no store: {ends}.")
     table = Table(title="The five rules, by the stand-ins' books", title_justify="left")
     for name, side in (("rule", "left"), ("", "left"), ("breaches", "right"), ("looked at", "right")):
         table.add_column(name, justify=side)  # type: ignore[arg-type]
--- a/irisdeal/demo/run.py
+++ b/irisdeal/demo/run.py
@@ -11,8 +11,10 @@
 from irisdeal.demo.processes import Deploy, DoorProcesses, Use, build, make_folder
 from irisdeal.standins.audit import Verdict, audit
 from irisdeal.standins.books import Books
+from irisdeal.standins.crowd import Crowd
 from irisdeal.standins.overshoot import StoreUse, stores
 from irisdeal.standins.platform import Platform
+from irisdeal.standins.reference import reference
 from irisdeal.standins.schedule import Day
 from irisdeal.standins.service import Service, reckon
 from irisdeal.standins.terminals import Terminals
@@ -35,6 +37,7 @@
     crashes: list[str] = field(default_factory=list)
     interrupted: float | None = None
     keeper_calls: int = 0
+    reference: float = 1.0  # the share that the boxes' capacity alone would allow
     stores: list[StoreUse] = field(default_factory=list)  # the largest overshoot first
 
     @property
@@ -59,11 +62,15 @@
     await platform.start()
     with make_folder() as folder:
         doors = DoorProcesses(platform, deploy, Path(folder), day.seed)
-        terminals = Terminals(day, platform.books, platform.now, doors.addresses)
+        parts = day.scenario.load.processes
+        terminals = Terminals(day, platform.books, platform.now, doors.addresses) if parts == 1 else Crowd(
+            day, platform.books, platform.clock, doors.addresses, parts)
         doors.terminals = terminals
         cut: float | None = None
         try:
             await doors.start()
+            if isinstance(terminals, Crowd):
+                await terminals.prepare()
             started([life.pid for life in platform.books.doors])
             before = os.times()
             start = platform.now() + 50_000
@@ -91,4 +98,5 @@
     return Outcome(
         day, platform.books, audit(platform.books, platform.figures), reckon(platform.books, scenario, start),
         [doors.use(d) for d in platform.doors], own, start, doors.crashes, cut, platform.keeper.calls,
+        reference(platform.books, scenario, start),
         stores(platform.books, scenario))
--- a/irisdeal/standins/books.py
+++ b/irisdeal/standins/books.py
@@ -25,11 +25,12 @@
 class Clock:
     """Whole microseconds that never go back and agreed with Unix time at the start."""
 
-    def __init__(self) -> None:
-        self._offset = time.time_ns() - time.monotonic_ns()
+    def __init__(self, offset: int | None = None) -> None:
+        """`offset` in ns: that of another process's clock on this machine, so that both tell one time."""
+        self.offset = time.time_ns() - time.monotonic_ns() if offset is None else offset
 
     def __call__(self) -> int:
-        return (time.monotonic_ns() + self._offset) // 1000
+        return (time.monotonic_ns() + self.offset) // 1000
 
 
 class End(Enum):
@@ -172,7 +173,22 @@
     faults: list[tuple[int, str]] = field(default_factory=list)  # µs and words, as they came
     stalls: list[tuple[int, int]] = field(default_factory=list)  # µs when our loop went on, µs it stood still
 
+    most_late: int | None = None  # µs, of any one loop, where the stalls are those of several laid together
+    strangers: dict[str, int] = field(default_factory=dict)  # connections of no store, by how they ended
+
     @property
     def lateness(self) -> int:
-        """µs, the most by which the stand-ins' own loop ran late."""
-        return max((late for _, late in self.stalls), default=0)
+        """µs, the most by which a loop of the stand-ins ran late."""
+        return max((late for _, late in self.stalls), default=0) if self.most_late is None else self.most_late
+
+
+def lay_together(*books: list[tuple[int, int]]) -> list[tuple[int, int]]:
+    """The stalls of several loops as those of one: where any stood still. In order, and none overlap."""
+    spans = sorted((end - late, end) for stalls in books for end, late in stalls)
+    found: list[tuple[int, int]] = []
+    for begin, end in spans:
+        if found and begin <= found[-1][1]:
+            found[-1] = (found[-1][0], max(found[-1][1], end))
+        else:
+            found.append((begin, end))
+    return [(end, end - begin) for begin, end in found]
--- a/irisdeal/standins/platform.py
+++ b/irisdeal/standins/platform.py
@@ -18,6 +18,7 @@
 from irisdeal.standins.box import Box
 from irisdeal.standins.boxmodel import HallMemory, Meter
 from irisdeal.standins.keeper import Keeper
+from irisdeal.standins.lateness import Lateness
 from irisdeal.standins.relay import Condition, Relay
 from irisdeal.standins.roster import Member, Roster
 from irisdeal.standins.scenario import Fault
@@ -25,9 +26,6 @@
 
 log = logging.getLogger("irisdeal.standins")
 
-LATENESS_STEP = 0.01  # s: how often the loop's own lateness is looked at
-LEAST_STALL = 5_000  # µs: what a loop of whole milliseconds shows anyway
-MOST_STALLS = 100_000  # noted; a run that stalls more often is no run
 
 
 class Doors(Protocol):
@@ -48,7 +46,8 @@
 
     def __init__(self, day: Day, now: Now | None = None, folder: Path | None = None) -> None:
         self.day, self.scenario = day, day.scenario
-        self.now: Now = now or Clock()
+        self.clock = Clock()
+        self.now: Now = now or self.clock
         self.books = Books()
         self.doors = range(self.scenario.doors)
         self.folder = folder
@@ -69,7 +68,7 @@
         self.random = stream(seed, "faults")
         self.struck: set[str] = set()  # boxes that a fault has; those that are gone stay
         self.tasks: set[asyncio.Task[None]] = set()
-        self.lateness: asyncio.TimerHandle | None = None
+        self.lateness = Lateness(self.books.stalls, self.now)
         self.closed = False
 
     # Start and end
@@ -80,20 +79,11 @@
         self.roster.ledger.change(*(self._member(box, "Ready") for box in self.boxes))
         await self.roster.start(self.doors)
         await self.keeper.start(self.doors)
-        self._look(asyncio.get_running_loop().time())
-
-    def _look(self, due: float) -> None:
-        """How late this loop runs: the audit allows for it."""
-        loop = asyncio.get_running_loop()
-        late = round((loop.time() - due) * 1e6)
-        if late >= LEAST_STALL and len(self.books.stalls) < MOST_STALLS:
-            self.books.stalls.append((self.now(), late))
-        self.lateness = loop.call_later(LATENESS_STEP, self._look, loop.time() + LATENESS_STEP)
+        self.lateness.start()
 
     def close(self) -> None:
         self.closed = True
-        if self.lateness is not None:
-            self.lateness.cancel()
+        self.lateness.stop()
         for task in self.tasks:
             task.cancel()
         for box in self.boxes:
@@ -187,7 +177,7 @@
             "roster-lose": self._roster_lose, "hall-cut": self._hall_cut, "hall-slow": self._hall_slow,
             "hall-reset": self._hall_reset, "door-kill": self._door_kill, "door-restart": self._door_restart,
             "door-reload": self._door_reload}
-        if (play := table.get(fault.do)) is not None:  # a rush and a hot door are drawn into the day
+        if (play := table.get(fault.do)) is not None:  # the rest is drawn into the day or the terminals'
             await play(fault, doors)
 
     def _some(self, count: int) -> list[Box]:
--- a/irisdeal/standins/scenario.py
+++ b/irisdeal/standins/scenario.py
@@ -19,7 +19,7 @@
 BUILT_IN = resources.files("irisdeal.standins") / "scenarios"
 MOST_BYTES = 262_144  # of a scenario file
 MOST_BASES = 4  # a chain of bases longer than this is a circle
-MOST = {"doors": 16, "boxes": 200, "seconds": 3600.0}  # what one machine can start
+MOST = {"doors": 16, "boxes": 200, "seconds": 3600.0, "processes": 8}  # what one machine can start
 
 
 class ScenarioError(ValueError):
@@ -119,6 +119,8 @@
     backoff_ms: float = 80.0
     honour: float = 0.6
     notice_s: float = 2.0
+    reuse: bool = True  # else each try comes on a connection of its own
+    processes: int = 1  # that the terminals run in
 
 
 @dataclass(frozen=True, slots=True)
@@ -224,6 +226,8 @@
     "door-restart": ("door",),  # SIGTERM; started again when it has ended
     "door-reload": ("door",),  # roster and count keeper move, then SIGHUP
     "rush": ("for_s", "size"),  # all stores ask so many times as much
+    "connect-storm": ("for_s", "size"),  # so many connections a second that say nothing
+    "slow-readers": ("for_s", "size"),  # so many connections that ask and never read an answer
 }
 
 
@@ -533,6 +537,8 @@
              "shares of the doors, over 0 and at most 1")
         need(load.full + load.heavy + load.spiky <= 1, "load.full + heavy + spiky",
              load.full + load.heavy + load.spiky, "at most 1")
+        need(1 <= load.processes <= MOST["processes"], "load.processes", load.processes,
+             f"1 to {MOST['processes']}")
         need(load.backoff in ("none", "fixed", "exp"), "load.backoff", load.backoff, "none, fixed or exp")
         for n, kind_ in enumerate(made.classes):
             at = f"class[{n}]"
--- a/irisdeal/standins/terminals.py
+++ b/irisdeal/standins/terminals.py
@@ -15,6 +15,7 @@
 
 from irisdeal.standins.books import Answer, Books, Now, Taken
 from irisdeal.standins.http import ClientConnection
+from irisdeal.standins.strangers import Strangers
 from irisdeal.standins.schedule import Arrival, Day, claim_key, stream, trace, weights
 
 LATE_WATCH = 0.5  # s that a connection is still read after its try was given up: a late answer is seen
@@ -28,7 +29,10 @@
 class Terminals:
     """All stores of a day. `run` plays it; `books.taken` holds each try."""
 
-    def __init__(self, day: Day, books: Books, now: Now, doors: list[Address]) -> None:
+    def __init__(
+        self, day: Day, books: Books, now: Now, doors: list[Address], part: int = 0, parts: int = 1,
+    ) -> None:
+        """`part` of `parts` processes, where the day's first tries are shared out (`crowd.py`)."""
         self.day, self.books, self.now, self.doors = day, books, now, doors
         self.scenario = day.scenario
         self.alive: set[int] = set(range(len(doors)))
@@ -36,16 +40,18 @@
         self.idle: defaultdict[int, list[ClientConnection]] = defaultdict(list)
         self.open: set[ClientConnection] = set()
         self.tasks: set[asyncio.Task[None]] = set()
-        self.random: random.Random = stream(day.seed, "terminals")
+        self.random: random.Random = stream(day.seed, "terminals", *((part,) if parts > 1 else ()))
         self.times = [a.at for a in day.arrivals]
         self.start = 0
         self.late_watch = LATE_WATCH
         self.stopped = False
+        self.strangers = Strangers(day, doors, books.strangers, part, parts)
 
     async def run(self, start: int) -> None:
         """Ask as drawn from `start` (µs) on, and wait until every try has ended."""
         self.start = start
         loop = asyncio.get_running_loop()
+        self.strangers.play((start - self.now()) / 1e6)
         place, count = 0, len(self.day.arrivals)
         while place < count and not self.stopped:
             ahead = self.now() - start + round(STEP * 2e6)
@@ -56,14 +62,15 @@
             await asyncio.sleep(STEP)
         rest = max(0.0, (start - self.now()) / 1e6 + (0.0 if self.stopped else self.scenario.seconds))
         await asyncio.sleep(rest)
-        while self.tasks:
-            await asyncio.wait(self.tasks)
+        while self.tasks or self.strangers.tasks:
+            await asyncio.wait(self.tasks | self.strangers.tasks)
 
     def stop(self) -> None:
         """Ask nothing new."""
         self.stopped = True
 
     def close(self) -> None:
+        self.strangers.close()
         for task in self.tasks:
             task.cancel()
         for connection in list(self.open):
@@ -193,7 +200,9 @@
             taken.gave_up = self.now()
             loop.call_later(self.late_watch, connection.close)
             return
-        if connection.usable():
+        if not self.scenario.load.reuse:
+            connection.close()
+        elif connection.usable():
             self.idle[taken.door].append(connection)
 
     def _text(self, taken: Taken, first: int, spread: int) -> bytes:
