--- a/irisdeal/standins/crowd.py
+++ b/irisdeal/standins/crowd.py
@@ -21,7 +21,7 @@
 from irisdeal.standins.books import Books, Clock, Taken, lay_together
 from irisdeal.standins.lateness import Lateness
 from irisdeal.standins.schedule import Day
-from irisdeal.standins.terminals import Address, Terminals
+from irisdeal.standins.terminals import LATE_WATCH, Address, Terminals
 
 READY_WITHIN = 20.0  # s for a process to come up
 ENDS_WITHIN = 60.0  # s for a book to be handed over once the last try has ended
@@ -168,6 +168,7 @@
                 int(value))
         commands = asyncio.get_running_loop().create_task(reader.readline())
     commands.cancel()
+    await asyncio.sleep(LATE_WATCH)  # what answers a try that was given up just now is still seen
     late.stop()
     terminals.close()
     return pickle.dumps(Book(books.taken, books.stalls, books.strangers))
