--- a/cresspulley/control.py
+++ b/cresspulley/control.py
@@ -234,10 +234,14 @@
         ago = behind * work * 1.5 / (rate * warmth)
         return ago <= s.fall_window / 2 and server.last_sent < self.now - ago
 
+    def _worth(self, request: Request) -> float:
+        return self.settings.classes[request.kind].worth * request.customer.plan.price * request.units
+
     def _pick(self, request: Request) -> Server | None:
         """The server that should finish first, failures counted as an aim lost."""
         rule, usual = self.settings.classes[request.kind], self.usual[request.kind]
-        window = self.window * min(FAVOUR, max(1.0 / FAVOUR, rule.worth / usual / self.value))
+        worth = self._worth(request)
+        window = self.window * min(FAVOUR, max(1.0 / FAVOUR, worth / usual / self.value))
         if self.out >= window or (window < 1.0 and self.now - self.last_sent < usual / window):
             return None
         ready, tied = self.ready, next((t.server.entry for t in request.tries if t.may_have_run), None)
@@ -273,7 +277,7 @@
         rule, usual = self.settings.classes[request.kind], self.usual[request.kind]
         hold = max(0, int(min((rule.aim - usual) * HOLD_SHARE, event.time_left * HOLD_MOST)))
         self._plan(min(request.last, self.now + hold), self._time_up, request)
-        self.value += LEARN / 10 * (rule.worth / usual - self.value)
+        self.value += LEARN / 10 * (self._worth(request) / usual - self.value)
         weight, room = self._weigh(request)
         customer.ask(weight, self.now)
         self._forget()
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -396,3 +396,19 @@
     # 401 units and the weight of the interval's end, not those times the strain of each failed call.
     assert of(Count, [a for _, a in desk.log])[-1].amount < 401 * math.exp(8) * 1.01
     assert desk.gateway.customers[9, RATED].owed == 0.0
+
+
+def test_in_a_shortage_the_dearer_request_goes_and_the_cheaper_waits() -> None:
+    """Lost: with a full window, a plan's price did not count, so that cheap requests took the boxes' time."""
+    plans = (plan(price=0.4), plan(price=4.0))
+    desk = Desk(servers=12, plans=plans, gateways=1)
+    gateway = desk.gateway
+    gateway.value = 1.0 / gateway.usual[0]  # the usual worth for the time: of a request of price 1
+    gateway.window = gateway.usual_window = 2.0
+    gateway.out = 2
+    cheap, actions = desk.ask(customer=1, plan=0, gateways=1)
+    assert not of(Send, actions)
+    _, actions = desk.ask(customer=2, plan=1, gateways=1)
+    assert of(Send, actions)
+    gateway.out = 0
+    assert any(a.request == cheap for a in of(Send, desk.run(100 * MS)))  # and none starves
