Health is answered from the reserve, and clients that never read are cut off

Need: a health call that came while all places were taken was refused like any other; a front that takes the door out for it would send its share to doors that are as full. And a client that stops reading held its place for good, once 64 KiB waited for it.

Change: a health call is answered as ever and its connection ends when it stands in the reserve. A client whose answers wait unread is cut off after 5 s, what the most patient usual one waits, and after 1 s in a crowd.

--- a/irisdeal/door/clients.py
+++ b/irisdeal/door/clients.py
@@ -32,6 +32,9 @@
 SLOW_REQUEST = 1.5  # s for a request's bytes to come, and for the first byte of a connection
 IDLE_CONNECTION = 15.0  # s between requests
 CROWDED = 0.85  # from this share of the places on, answers end their connections, and idle ones get IDLE_FOR
+# s that answers may wait for a client that does not read them: what the most patient usual one waits for its
+# answer; and in a crowd. Its requests have ended by then, and its place is wanted.
+UNREAD, UNREAD_IN_CROWD = 5.0, 1.0
 LINGER = 1.0  # s that a client may take to read why its connection ends
 SWEEP = 0.25  # s
 # Headers that speak of one connection, or that are written anew.
@@ -151,6 +154,7 @@
         self.spoke = False  # has sent a whole request
         self.since = side.now()  # of the last change between idle and busy
         self.begun = self.since  # of the request that comes in
+        self.full_since = 0.0  # of a client that does not read its answers; 0.0 while it does
         self.ends_at = 0.0  # when the connection is cut, once it closes
         self._reset()
 
@@ -210,11 +214,11 @@
         return False  # a client that has closed its side has gone away
 
     def pause_writing(self) -> None:
-        self.full = True  # it does not read its answers: take no further requests meanwhile
+        self.full, self.full_since = True, self.side.now()  # take no further requests meanwhile
         self._pause()
 
     def resume_writing(self) -> None:
-        self.full = False
+        self.full, self.full_since = False, 0.0
         self._read_on()
 
     def _read_on(self) -> None:
@@ -283,11 +287,13 @@
         self.waiting.append(request)
         if len(self.waiting) > MOST_PIPELINED:  # all of one read come here, however many
             return request.reply(503, b"too many requests at once\n")
-        if not self.side.places.claim(self, self.since):
-            return self._turn_away(request)
         if self.url.partition(b"?")[0] == b"/_health":
             able = self.side.door.can_serve() and not self.side.draining
+            if self.side.places.in_reserve(self):  # full is not unwell: left out, it would drown the others
+                request.then_close = self.closing = True
             return request.reply(200 if able else 503, b"ready\n" if able else b"not ready\n")
+        if not self.side.places.claim(self, self.since):
+            return self._turn_away(request)
         try:
             self._read(request, self.parser)
             self.side.open_traces.add(request.trace)
@@ -452,6 +458,9 @@
         if self.ends_at:
             if now > self.ends_at and self.transport is not None:
                 self.transport.abort()  # it neither reads what it is owed nor closes
+        elif self.full and now - self.full_since > (UNREAD_IN_CROWD if self.side.crowded() else UNREAD):
+            if self.transport is not None:
+                self.transport.abort()
         elif self.broken or (self.in_message and not self.paused):
             if now - self.begun > SLOW_REQUEST:
                 self._reject(Malformed(408, "request came too slowly"))
--- a/irisdeal/overload/places.py
+++ b/irisdeal/overload/places.py
@@ -94,6 +94,9 @@
                 self._fade(now)
                 self._freed += 1.0
 
+    def in_reserve(self, key: K) -> bool:
+        return key in self.spare
+
     def claim(self, key: K, now: float) -> bool:
         """Its request is whole: whether it has a usual place. False: to be refused, and counted so."""
         if key not in self.spare:
--- a/tests/test_patience.py
+++ b/tests/test_patience.py
@@ -109,6 +109,22 @@
             await asyncio.sleep(0)
 
 
+@socket_test
+async def test_one_that_never_reads_its_answers_is_cut_off_sooner_in_a_crowd() -> None:
+    async with running(Script(silent)) as door:
+        hand = Hand(door.program.clients)
+        await connected(door, 2)
+        one, _ = door.program.clients.connections
+        one.pause_writing()  # as the transport does once 64 KiB wait
+        one.spoke = True
+        hand.on(4.9)
+        assert one in door.program.clients.connections
+        shrink(door.program.clients, 2, 0)
+        hand.on(0.0)
+        while one in door.program.clients.connections:
+            await asyncio.sleep(0)
+
+
 @socket_test
 async def test_the_bound_on_open_requests_holds_inside_one_read() -> None:
     script = Script(silent)
@@ -223,6 +239,11 @@
             assert line.split()[1] == "503" and body
             assert headers["connection"] == "close" and float(headers["retry-after"]) > 0
             assert await reader.read() == b""  # an end, no reset
+        reader, to_door = await door.client()
+        door.program.door.list_known = True
+        to_door.write(b"GET /_health HTTP/1.1\r\nHost: svc\r\n\r\n")
+        line, headers, _ = await read_message(reader)
+        assert line.split()[1] == "200" and headers["connection"] == "close"  # full is not unwell
         assert len(await script.wait_for(Arrival)) == 4
         assert len(side.connections) == 4 and all(c.waiting for c in side.connections)
 
