--- /dev/null
+++ b/benchmarks/overload.py
@@ -0,0 +1,95 @@
+"""What a rush does to the front doors: real doors as processes, judged by the stand-ins' books.
+
+    python -m benchmarks.overload                                   # rushes of 2, 5 and 10, one seed
+    python -m benchmarks.overload --days rush retry-storm --seeds 10 --sockets 256 384 1024
+    python -m benchmarks.overload --curve                           # goodput over offered load, 0.5 to 10
+
+One line a day: tries, tries lost, breaches of other rules, the share of the worth asked inside quotas that
+was served, the share that the boxes' capacity alone would allow, their ratio, the time to recover, the CPU of
+a door for a try, descriptors and memory of the door with the most, and how late the stand-ins ran (over 50 ms
+the time limits were taken longer). A day is a built-in scenario, or a number: a rush of so many times.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import sys
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import uvloop
+
+from irisdeal.demo.processes import find_deploy
+from irisdeal.demo.run import Outcome, play
+from irisdeal.standins.audit import Rule
+from irisdeal.standins.scenario import Fault, Scenario, load
+from irisdeal.standins.schedule import draw
+from irisdeal.standins.service import recovery
+
+CURVE = ("0.5", "1", "1.5", "2", "3", "5", "7", "10")
+
+
+def scenario_of(day: str, sockets: int) -> Scenario:
+    """A built-in scenario by its name, or a rush of so many times by a number."""
+    if day.replace(".", "", 1).isdigit():
+        rush = Fault(4.0, "rush", 6.0, size=float(day))
+        made = replace(load("rush"), name=f"rush of {day}", faults=(rush,))
+    else:
+        made = load(day)
+    return replace(made, door=replace(made.door, sockets=sockets))
+
+
+def figures(outcome: Outcome, calm: Outcome) -> dict[str, Any]:
+    """One day's line as plain values; `calm` is a calm day of the same seed and doors."""
+    scenario, verdict, service = outcome.day.scenario, outcome.verdict, outcome.service
+    faults = scenario.faults
+    tries = sum(bool(taken.at) for taken in outcome.books.taken)
+    cpu = sum(use.cpu or 0 for use in outcome.uses)
+    last = max((f.at_s + f.for_s for f in faults), default=0.0)
+    back = recovery(service.seconds, calm.service.seconds, last)
+    return {
+        "day": scenario.name, "seed": outcome.day.seed, "sockets": scenario.door.sockets, "tries": tries,
+        "lost": verdict.counts[Rule.ANSWERS],
+        "other_breaches": sum(n for rule, n in verdict.counts.items() if rule is not Rule.ANSWERS),
+        "crashes": len(outcome.crashes), "served": round(service.whole.share, 4),
+        "by_capacity": round(outcome.reference, 4),
+        "of_it": round(service.whole.share / outcome.reference, 3) if outcome.reference else None,
+        "goodput_per_s": round(service.inside_per_s, 1), "recovered_s": back,
+        "p99_ms": round(service.percentile(0.99)),
+        "cpu_us": round(cpu / tries) if tries else None,
+        "files": max(use.files or 0 for use in outcome.uses),
+        "memory_mb": round(max(use.memory or 0 for use in outcome.uses) / 1e6, 1),
+        "late_ms": round(outcome.books.lateness / 1000)}
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--days", nargs="+", default=["2", "5", "10"])
+    parser.add_argument("--curve", action="store_true", help="rushes of " + ", ".join(CURVE))
+    parser.add_argument("--seeds", type=int, default=1)
+    parser.add_argument("--sockets", type=int, nargs="+", default=[1024])
+    parser.add_argument("--deploy", type=Path, default=None, help="whose run line starts the doors")
+    parser.add_argument("--json", type=Path, default=None)
+    told = parser.parse_args()
+    deploy = find_deploy(Path.cwd(), told.deploy)
+    lines: list[dict[str, Any]] = []
+    for sockets in told.sockets:
+        for seed in range(1, told.seeds + 1):
+            calm = uvloop.run(play(draw(scenario_of("calm", sockets), seed), deploy))
+            for day in CURVE if told.curve else told.days:
+                line = figures(uvloop.run(play(draw(scenario_of(day, sockets), seed), deploy)), calm)
+                lines.append(line)
+                if len(lines) == 1:
+                    print(" ".join(f"{name:>{max(8, len(name))}}" for name in line))
+                print(" ".join(f"{value if value is not None else '-':>{max(8, len(name))}}"
+                               for name, value in line.items()), flush=True)
+    if told.json is not None:
+        told.json.write_text(json.dumps(lines, indent=1) + "\n", "utf-8")
+    return 1 if any(line["lost"] or line["other_breaches"] or line["crashes"] for line in lines) else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/irisdeal/demo/run.py
+++ b/irisdeal/demo/run.py
@@ -8,10 +8,10 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from irisdeal.demo.processes import Deploy, DoorProcesses, Use, build, make_folder
+from irisdeal.demo.processes import CannotRun, Deploy, DoorProcesses, Use, build, make_folder
 from irisdeal.standins.audit import Verdict, audit
 from irisdeal.standins.books import Books
-from irisdeal.standins.crowd import Crowd
+from irisdeal.standins.crowd import Crowd, CrowdError
 from irisdeal.standins.overshoot import StoreUse, stores
 from irisdeal.standins.platform import Platform
 from irisdeal.standins.reference import reference
@@ -89,6 +89,8 @@
             await asyncio.sleep(SETTLE)
             after = os.times()
             await doors.stop()
+        except CrowdError as error:
+            raise CannotRun(str(error)) from None
         finally:
             doors.kill_all()
             terminals.close()
--- a/irisdeal/standins/crowd.py
+++ b/irisdeal/standins/crowd.py
@@ -162,6 +162,7 @@
             terminals.stop()
         elif what == "":  # the parent has gone
             terminals.close()
+            await asyncio.gather(*terminals.tasks, *terminals.strangers.tasks, return_exceptions=True)
             return b""
         else:
             {"down": terminals.door_down, "leaves": terminals.door_leaves, "up": terminals.door_up}[what](
--- a/irisdeal/standins/service.py
+++ b/irisdeal/standins/service.py
@@ -8,12 +8,14 @@
 from __future__ import annotations
 
 import heapq
+import math
 from collections import defaultdict
 from dataclasses import dataclass, field
 
 from irisdeal.standins.books import SECOND, Attempt, Books, End, Taken
 from irisdeal.standins.scenario import Scenario
 
+SPAN = 2  # seconds that are looked at together: one has few requests
 WINDOW = 10 * SECOND  # µs; the worst 10 s of BRIEF, Weights of service
 
 
@@ -67,6 +69,7 @@
     beyond_units: float = 0.0  # share of the units first sent on
     refused: int = 0
     failed: int = 0
+    seconds: dict[int, Share] = field(default_factory=dict)  # by second from the start
     latencies: list[int] = field(default_factory=list)  # µs from a try's last byte to its good answer, sorted
 
     def percentile(self, share: float) -> float:
@@ -124,9 +127,30 @@
     made.inside_per_s /= max(0.1, (end - begin) / 1e6)
     made.beyond_units = beyond / total if total else 0.0
     _worst(made, slots, begin, end)
+    made.seconds = {n - begin // SECOND + 1: slots[n] for n in sorted(slots)}
     return made
 
 
+def recovery(seconds: dict[int, Share], calm: dict[int, Share], last: float) -> float | None:
+    """s from the end of the last fault (`last`, s from the start) until service is back; None: it never is.
+
+    Back is a span of `SPAN` seconds no worse than the worst such span that a calm day of the same seed has
+    in the same part: a span has few requests, so that the calm day itself moves up and down.
+    """
+    begin = math.ceil(last)
+    spans = [n for n in calm if n >= begin and n + SPAN - 1 in calm]
+    level = min((_mean([calm[m] for m in range(n, n + SPAN)]) for n in spans), default=1.0)
+    for n in range(begin, max(seconds, default=0) - SPAN + 2):
+        if _mean([seconds[m] for m in range(n, n + SPAN) if m in seconds]) >= level:
+            return n - last
+    return None
+
+
+def _mean(shares: list[Share]) -> float:
+    offered = sum(share.offered for share in shares)
+    return min(1.0, sum(share.served for share in shares) / offered) if offered else 1.0
+
+
 def _worst(made: Service, slots: dict[int, Share], begin: int, end: int) -> None:
     """The worst window, moved on by a second; a run shorter than one window is one window."""
     made.worst = made.whole.share
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -6,7 +6,7 @@
 
 from irisdeal.standins.books import SECOND, Answer, Attempt, Books, End, Taken
 from irisdeal.standins.scenario import Scenario, parse
-from irisdeal.standins.service import Bucket, reckon
+from irisdeal.standins.service import Bucket, Share, reckon, recovery
 
 TEXT = """
 seconds = 30
@@ -86,3 +86,13 @@
     assert not bucket.take(SECOND, 1.0, SECOND)  # one is out
     assert bucket.take(6 * SECOND, 2.0, 6 * SECOND)
     assert not bucket.take(7 * SECOND, 2.0, 8 * SECOND)  # one unit is back
+
+
+def test_service_is_back_once_it_is_no_worse_than_the_calm_day_at_its_worst() -> None:
+    def day(*shares: float) -> dict[int, Share]:
+        return {n: Share(1.0, share) for n, share in enumerate(shares)}
+
+    calm = day(1.0, 1.0, 1.0, 0.9, 0.8, 1.0, 0.9, 1.0)
+    assert recovery(day(1.0, 0.1, 0.1, 0.2, 0.8, 0.9, 1.0, 1.0), calm, 3.0) == 1.0
+    assert recovery(calm, calm, 3.0) == 0.0
+    assert recovery(day(1.0, 0.1, 0.1, 0.2, 0.3, 0.3, 0.3, 0.3), calm, 3.0) is None
