Tests for four guards that could be taken out unseen

Need: broken on purpose one by one, four lines of the overload work failed no test: the look into the kernel before a connection is closed, the time that a fresh one gets at the door's end, the queue's length set on the socket, and a terminal's look for an end before it writes.

Change: a test for each; no code. Result: each fails with its line taken out and passes with it.

--- a/tests/test_patience.py
+++ b/tests/test_patience.py
@@ -12,6 +12,7 @@
 from irisdeal.door.clients import MOST_BEHIND, MOST_PIPELINED, ClientSide
 from irisdeal.door.limits import OWN, share
 from irisdeal.door.listener import Listener
+from irisdeal.overload.places import SILENT_FOR
 from tests.peers import (
     Peer, Running, Script, Streams, ask, member, read_message, running, socket_test, whole_list)
 
@@ -360,3 +361,53 @@
                 await asyncio.sleep(0)
         finally:
             gc.enable()
+
+
+@socket_test
+async def test_a_request_that_has_come_and_is_not_read_yet_keeps_its_connection() -> None:
+    script = Script(lambda event: [Refuse(event.request)] if isinstance(event, Arrival) else [])
+    async with running(script) as door:
+        [(reader, writer)] = await connected(door, 1)
+        writer.write(ask(trace="a0"))
+        await read_message(reader)
+        [one] = door.program.clients.connections
+        writer.write(ask(trace="a1"))  # the kernel has it before the loop turns
+        one.retire()
+        assert not one.make_room() and not one.ends_at
+        await script.wait_for(Arrival, 2)
+
+
+@socket_test
+async def test_at_the_end_one_that_came_just_now_gets_the_time_to_speak() -> None:
+    async with running(Script(silent)) as door:
+        side = door.program.clients
+        hand = Hand(side)
+        [(reader, _)] = await connected(door, 1)
+        [one] = side.connections
+        side.retire_idle()
+        assert not one.ends_at
+        hand.time += SILENT_FOR
+        side.retire_idle()
+        assert (await ended(reader)).startswith(b"HTTP/1.1 408 ")
+
+
+@socket_test
+async def test_the_queues_new_length_is_set_in_the_kernel() -> None:
+    async with running(Script(silent)) as door:
+        listener = door.program.clients.listener
+        real, lengths = listener.socket, list[int]()
+        assert real is not None
+
+        class Heard:
+            """The socket, whose lengths are noted."""
+
+            def __getattr__(self, name: str) -> object:
+                return getattr(real, name)
+
+            def listen(self, length: int) -> None:
+                lengths.append(length)
+
+        listener.socket = Heard()  # type: ignore[assignment]
+        listener.backlog.took = lambda count, more, now: 77  # type: ignore[method-assign]
+        await connected(door, 1)
+        assert set(lengths) == {77}
--- a/tests/test_standin_sockets.py
+++ b/tests/test_standin_sockets.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import socket
 from contextlib import suppress
 from typing import cast
 
@@ -12,6 +13,7 @@
 
 from irisdeal.standins.audit import Rule
 from irisdeal.standins.books import Books, Clock, End, Told
+from irisdeal.standins.http import ClientConnection
 from irisdeal.standins.keeper import Keeper
 from irisdeal.standins.platform import Platform
 from irisdeal.standins.relay import Condition, Relay
@@ -472,3 +474,17 @@
     assert [b.text() for b in run.verdict.breaches] == []
     assert run.verdict.looked[Rule.ANSWERS] > 200
     assert {"hall-b is back"} <= {text for _, text in run.books.faults}
+
+
+def test_a_terminal_sees_an_end_that_its_loop_has_yet_to_tell() -> None:
+    async def run() -> None:
+        loop = asyncio.get_running_loop()
+        with socket.create_server(("127.0.0.1", 0)) as listening:
+            _, connection = await loop.create_connection(ClientConnection, *listening.getsockname())
+            door, _ = listening.accept()
+            assert not connection.ended()
+            door.close()
+            assert connection.usable() and connection.ended()
+            connection.close()
+
+    uvloop.run(run())
