The stand-in count keeper answers in the order of its calls, however late it runs

A door's log of each refusal showed totals of 632 to 1,490,644 units for stores that had asked one or two, and each of these was the total of some heavy store. The door matches answers to calls by their order (PROTOCOL, The counter); the stand-in set a timer for each answer, and two that were due together fired in the order in which a late loop had set them.

Now one timer for the head of a line. The test fails without the change.

--- a/irisdeal/standins/keeper.py
+++ b/irisdeal/standins/keeper.py
@@ -11,7 +11,7 @@
 import random
 import re
 import zlib
-from collections import defaultdict
+from collections import defaultdict, deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
 from functools import partial
@@ -84,7 +84,8 @@
         self.keeper, self.door = keeper, door
         self.transport: asyncio.Transport | None = None
         self.rest = b""
-        self.after = 0  # µs: no answer goes before the one ahead of it
+        self.answers: deque[tuple[int, bytes]] = deque()  # when each is due (µs), in the order of their calls
+        self.writing: asyncio.TimerHandle | None = None
         self.idle: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -119,16 +120,27 @@
             self.close()
 
     def answer(self, due: int, text: bytes) -> None:
-        """Write at `due` (µs), but not before what is ahead."""
-        self.after = max(self.after, due)
-        wait = max(0, self.after - self.keeper.now()) / 1e6
-        asyncio.get_running_loop().call_later(wait, self._write, text)
-
-    def _write(self, text: bytes) -> None:
-        if self.transport is None:
-            self.keeper.late += 1  # its caller has gone; the amount was added all the same
-        else:
-            self.transport.write(text)
+        """Write at `due` (µs), but not before what is ahead.
+
+        One timer for the head of the line: with one for each answer, two that are due together went in the
+        order in which a late loop had set their timers, and a call got another name's total.
+        """
+        self.answers.append((max(due, self.answers[-1][0] if self.answers else 0), text))
+        if self.writing is None:
+            self._write()
+
+    def _write(self) -> None:
+        self.writing = None
+        while self.answers:
+            due, text = self.answers[0]
+            if (wait := due - self.keeper.now()) > 0:
+                self.writing = asyncio.get_running_loop().call_later(wait / 1e6, self._write)
+                return
+            self.answers.popleft()
+            if self.transport is None:
+                self.keeper.late += 1  # its caller has gone; the amount was added all the same
+            else:
+                self.transport.write(text)
 
 
 class Keeper:
--- a/tests/test_standin_models.py
+++ b/tests/test_standin_models.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 
 import pytest
@@ -11,7 +12,7 @@
 from irisdeal.standins.audit import Figures
 from irisdeal.standins.books import SECOND, Life
 from irisdeal.standins.boxmodel import BoxModel, Done, HallMemory, Job, Meter, Verdict
-from irisdeal.standins.keeper import KeeperModel, read_call
+from irisdeal.standins.keeper import Keeper, KeeperModel, _Line, read_call
 from irisdeal.standins.roster import Ledger, Member
 from irisdeal.standins.scenario import KeeperSpec
 from irisdeal.standins.schedule import Machine
@@ -214,3 +215,30 @@
     assert len(ledger.history) <= 1000
     assert ledger.since(0, 2)[2]
     assert ledger.since(0, 10**9)[2]
+
+
+async def _answers_of_a_late_loop() -> list[bytes]:
+    clock = [0]
+    keeper = Keeper(KeeperSpec(), lambda: clock[0], 1)
+    line = _Line(keeper, 0)
+    written: list[bytes] = []
+    both = asyncio.Event()
+
+    class Wire(asyncio.Transport):
+        def write(self, data: bytes | bytearray | memoryview) -> None:
+            written.append(bytes(data))
+            if len(written) == 2:
+                both.set()
+
+    line.transport = Wire()
+    line.answer(20_000, b"first")
+    clock[0] = 19_999  # its loop stood still: the timer of the first is far off, by the loop's own time
+    line.answer(19_999, b"second")
+    clock[0] = 20_000
+    await asyncio.wait_for(both.wait(), 10)
+    return written
+
+
+def test_a_late_keeper_still_answers_in_the_order_of_the_calls() -> None:
+    """Lost: two answers due together changed places, and a quiet store was told a greedy one's total."""
+    assert asyncio.run(_answers_of_a_late_loop()) == [b"first", b"second"]
