Scenarios flood and greedy, and service by how stores ask

Need: fairness must show from outside. 'flood' brings ten thousand new stores of one plan within a minute, each with one request; 'greedy' has the heavy stores ask twelve times as much and heed no advice. Every report tells for calm, full, heavy, spiky and new stores what they asked inside their quotas, how much of it was not served or late, and how long it took from the first try to the good answer.

--- a/irisdeal/demo/report.py
+++ b/irisdeal/demo/report.py
@@ -40,6 +40,11 @@
              "units_allowed": use.allowed, "overshoot_units": use.overshoot,
              "worst_at": (use.worst_at - outcome.start) / 1e6 if use.worst_at else None, "doors": use.doors}
             for use in outcome.stores],
+        "by_manner": {
+            name: {"stores": use.stores, "asks": use.asks, "inside": use.inside,
+                   "inside_unserved": use.unserved, "inside_late": use.late,
+                   "p50_ms": use.percentile(0.5), "p99_ms": use.percentile(0.99)}
+            for name, use in outcome.manners.items()},
         "keeper_calls": outcome.keeper_calls,
         "standins": {"cpu_s": outcome.own_cpu / 1e6, "late_ms": outcome.books.lateness / 1000},
         "faults": [{"at": (at - outcome.start) / 1e6, "what": text} for at, text in outcome.books.faults],
@@ -83,6 +88,15 @@
         f"{service['first_tries']} first tries, {service['tries']} tries, {service['attempts']} attempts; "
         f"{service['refused']} refused, {service['failed']} failed; served in {service['p50_ms']:.0f} ms "
         f"(median), {service['p99_ms']:.0f} ms (99th percentile).")
+    table = Table(title="By how stores ask, over all tries of an ask", title_justify="left")
+    for name in ("stores that are", "count", "asks", "inside quota", "of them unserved", "late", "p50 ms",
+                 "p99 ms"):
+        table.add_column(name, justify="left" if name == "stores that are" else "right")
+    for name, use in told["by_manner"].items():
+        table.add_row(name, *(str(use[key]) for key in (
+            "stores", "asks", "inside", "inside_unserved", "inside_late")),
+            f"{use['p50_ms']:.0f}", f"{use['p99_ms']:.0f}")
+    console.print(table)
     table = Table(title="Doors", title_justify="left")
     for name in ("door", "requests", "CPU µs a request", "memory MB", "descriptors"):
         table.add_column(name, justify="right")
--- a/irisdeal/demo/run.py
+++ b/irisdeal/demo/run.py
@@ -16,7 +16,7 @@
 from irisdeal.standins.platform import Platform
 from irisdeal.standins.reference import reference
 from irisdeal.standins.schedule import Day
-from irisdeal.standins.service import Service, reckon
+from irisdeal.standins.service import MannerUse, Service, manners, reckon
 from irisdeal.standins.terminals import Terminals
 
 SETTLE = 0.3  # s after the last answer: what a door still sends shows
@@ -39,6 +39,7 @@
     keeper_calls: int = 0
     reference: float = 1.0  # the share that the boxes' capacity alone would allow
     stores: list[StoreUse] = field(default_factory=list)  # the largest overshoot first
+    manners: dict[str, MannerUse] = field(default_factory=dict)
 
     @property
     def kept(self) -> bool:
@@ -101,4 +102,5 @@
         day, platform.books, audit(platform.books, platform.figures), reckon(platform.books, scenario, start),
         [doors.use(d) for d in platform.doors], own, start, doors.crashes, cut, platform.keeper.calls,
         reference(platform.books, scenario, start),
-        stores(platform.books, scenario))
+        stores(platform.books, scenario),
+        manners(platform.books, scenario, {s.customer: s.manner for s in day.stores}, start))
--- a/irisdeal/standins/scenario.py
+++ b/irisdeal/standins/scenario.py
@@ -226,6 +226,8 @@
     "door-restart": ("door",),  # SIGTERM; started again when it has ended
     "door-reload": ("door",),  # roster and count keeper move, then SIGHUP
     "rush": ("for_s", "size"),  # all stores ask so many times as much
+    "greedy": ("for_s", "size"),  # the heavy stores ask so many times as much, and heed no advice
+    "flood": ("for_s", "size"),  # so many new stores a second, of the first plan, that ask once each
     "connect-storm": ("for_s", "size"),  # so many connections a second that say nothing
     "slow-readers": ("for_s", "size"),  # so many connections that ask and never read an answer
 }
@@ -264,6 +266,11 @@
                 replace(f, at_s=f.at_s * times, for_s=f.for_s * min(1.0, times)) for f in made.faults))
         return made
 
+    def doing(self, what: str) -> list[tuple[int, int, float]]:
+        """When a fault of that name begins and ends (µs from the start), and its size, for each."""
+        return [(_us(f.at_s * 1e3), _us((f.at_s + f.for_s) * 1e3), f.size)
+                for f in self.faults if f.do == what]
+
     def burst(self, plan: Plan) -> float:
         """Units that a store's quota holds: two of the largest requests at least, four under a ceiling."""
         most = max(c.units for c in self.classes)
--- a/irisdeal/standins/schedule.py
+++ b/irisdeal/standins/schedule.py
@@ -11,7 +11,7 @@
 import math
 import random
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from irisdeal.standins.books import SECOND
 from irisdeal.standins.scenario import Class, Plan, Scenario
@@ -57,9 +57,10 @@
     first: int  # of its doors
     spread: int
     rate: float  # units a second that it asks, spikes apart
-    manner: str  # calm, full, heavy or spiky
+    manner: str  # calm, full, heavy or spiky; new: it comes with a flood
     spikes: tuple[tuple[int, int, float], ...]  # start and end (µs from the start), times the plan's rate
     honours: bool  # Retry-After
+    once: int = 0  # µs from the start at which one that came with a flood asks, its only time; 0: not so
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,8 +92,9 @@
 def draw(scenario: Scenario, seed: int) -> Day:
     """The day of this seed. ValueError where the load is past any use."""
     machines = tuple(machine(scenario, seed, n) for n in range(scenario.fleet.boxes))
-    stores = tuple(_stores(scenario, seed, machines))
+    stores = (*_stores(scenario, seed, machines), *_flood(scenario, seed))
     expected = sum(s.rate for s in stores) / mean_units(scenario) * scenario.seconds
+    expected += sum(bool(s.once) for s in stores)
     if expected > MOST_ARRIVALS:
         raise ValueError(f"{scenario.name}: about {expected:.0f} requests: wanted at most {MOST_ARRIVALS}")
     return Day(scenario, seed, machines, stores, tuple(_arrivals(scenario, seed, stores)))
@@ -149,6 +151,17 @@
             yield _store(scenario, plan, n, rng, manner, use)
 
 
+def _flood(scenario: Scenario, seed: int) -> Iterator[Store]:
+    """The stores that come once, at even times with luck between: `size` of them a second."""
+    rng = stream(seed, "flood")
+    for fault in scenario.faults:
+        if fault.do == "flood":
+            for n in range(round(fault.size * fault.for_s)):
+                at = fault.at_s + (n + rng.random()) / fault.size
+                store = _store(scenario, scenario.plans[0], 0, rng, "new", 0.0)
+                yield replace(store, once=max(1, round(at * SECOND)))
+
+
 def _manners(scenario: Scenario, rng: random.Random) -> Iterator[str]:
     """Manners by their shares, in an order drawn for each hundred: few stores must not be all of one."""
     load = scenario.load
@@ -167,7 +180,7 @@
     if ceiling := scenario.ceiling(plan):  # its part of the ceiling must hold a request of the largest kind
         most = max(c.units for c in scenario.classes)
         spread = max(1, min(spread, int(ceiling.depth / (2 * most))))
-    rate = plan.rate * {"calm": use, "spiky": use, "full": rng.uniform(0.85, 1.0),
+    rate = plan.rate * {"calm": use, "spiky": use, "new": 0.0, "full": rng.uniform(0.85, 1.0),
                         "heavy": rng.uniform(*load.heavy_x)}[manner]
     spikes: list[tuple[int, int, float]] = []
     at = rng.expovariate(1 / load.spike_every_s) if manner == "spiky" and load.spike_every_s else math.inf
@@ -176,28 +189,32 @@
         spikes.append((round(at * 1e6), round(end * 1e6), rng.uniform(*load.spike_x)))
         at = end + rng.expovariate(1 / load.spike_every_s)
     return Store(rng.randrange(1, 2**33), number, rng.randrange(doors), spread, rate, manner, tuple(spikes),
-                 rng.random() < load.honour)
+                 rng.random() < load.honour and not (manner == "heavy" and scenario.doing("greedy")))
 
 
 def _arrivals(scenario: Scenario, seed: int, stores: tuple[Store, ...]) -> Iterator[Arrival]:
     units = mean_units(scenario)
-    rushes = [(round(f.at_s * 1e6), round((f.at_s + f.for_s) * 1e6), f.size)
-              for f in scenario.faults if f.do == "rush"]
+    rushes, greedy = scenario.doing("rush"), scenario.doing("greedy")
     found: list[tuple[int, int, int]] = []
     weights = [c.share for c in scenario.classes]
     kinds = range(len(scenario.classes))
     for n, store in enumerate(stores):
         rng = stream(seed, "arrivals", n)
+        if store.once:
+            if store.once < scenario.seconds * SECOND:
+                found.append((store.once, n, rng.choices(kinds, weights)[0]))
+            continue
+        swells = rushes + (greedy if store.manner == "heavy" else [])
         plan_rate = scenario.plans[store.plan].rate
         # Thinning (Lewis and Shedler 1979): draw at the highest rate, keep by the share of the present one.
         top = max([store.rate, *(times * plan_rate for _, _, times in store.spikes)])
-        top *= max([1.0, *(size for _, _, size in rushes)])
+        top *= math.prod([1.0, *(max(1.0, size) for _, _, size in swells)])
         at = 0.0
         while (at := at + rng.expovariate(top / units)) < scenario.seconds:
             now = round(at * 1e6)
             spike = next((times for start, end, times in store.spikes if start <= now < end), None)
             rate = store.rate if spike is None else spike * plan_rate
-            rate *= next((size for start, end, size in rushes if start <= now < end), 1.0)
+            rate *= math.prod(size for start, end, size in swells if start <= now < end)
             if rng.random() * top < rate:
                 found.append((now, n, rng.choices(kinds, weights)[0]))
     found.sort()
--- a/irisdeal/standins/service.py
+++ b/irisdeal/standins/service.py
@@ -131,6 +131,54 @@
     return made
 
 
+@dataclass(slots=True)
+class MannerUse:
+    """What the stores of one manner got: asks and, of those, the ones inside the quota (BENCH, as above)."""
+
+    stores: int = 0
+    asks: int = 0
+    inside: int = 0
+    unserved: int = 0  # of those inside: no good answer to any try
+    late: int = 0  # of those inside: served, but past the aim
+    waits: list[int] = field(default_factory=list)  # µs from the first try to the good answer, sorted
+
+    def percentile(self, share: float) -> float:
+        """ms; 0 where nothing was served."""
+        if not self.waits:
+            return 0.0
+        return self.waits[min(len(self.waits) - 1, int(share * len(self.waits)))] / 1000
+
+
+def manners(books: Books, scenario: Scenario, manner_of: dict[int, str], start: int) -> dict[str, MannerUse]:
+    """The same run by the manner in which stores ask; `manner_of` by customer."""
+    made = {manner: MannerUse() for manner in sorted(set(manner_of.values()))}
+    for manner in manner_of.values():
+        made[manner].stores += 1
+    kinds = {c.name: c for c in scenario.classes}
+    by_ask: dict[int, list[Taken]] = defaultdict(list)
+    for taken in books.taken:
+        by_ask[taken.ask].append(taken)
+    offers, begin, end = _buckets(scenario), start + SECOND, start + round(scenario.seconds * SECOND)
+    for tries in sorted(by_ask.values(), key=lambda t: t[0].due):
+        first, kind = tries[0], kinds[tries[0].kind]
+        inside = offers(first.plan, first.customer).take(
+            first.due, first.units, first.due + round(kind.work_ms * 1000))
+        if not begin <= first.due < end:
+            continue
+        use = made[manner_of[first.customer]]
+        use.asks += 1
+        good = [t.answers[0].at for t in tries if t.answers and t.answers[0].status == 200]
+        if inside:
+            use.inside += 1
+            use.unserved += not good
+            use.late += bool(good) and min(good) - first.due > kind.aim_ms * 1000
+        if good:
+            use.waits.append(min(good) - first.due)
+    for use in made.values():
+        use.waits.sort()
+    return made
+
+
 def recovery(seconds: dict[int, Share], calm: dict[int, Share], last: float) -> float | None:
     """s from the end of the last fault (`last`, s from the start) until service is back; None: it never is.
 
