A request whose time no box can meet is refused at once

The module keeps the least time that an answer of each class took, creeping up by a hundredth of the way to the usual time with each good answer, and refuses what has less left. Two tests, seen to fail without it.

--- a/cresspulley/control.py
+++ b/cresspulley/control.py
@@ -30,6 +30,7 @@
 FIRST_WORK_SHARE = 1 / 6  # a class's service time before any answer, as a share of its aim: high on purpose
 STALL, NO_SERVER_PAUSE = 100_000, 20_000  # woken so late, we stood still; held requests look again after this
 LEARN, LEARN_BAD = 0.1, 0.25  # weight of a new sample: in averages; in failures, which must show fast
+CREEP = 0.01  # part of the way to the usual time that the least one creeps up with each good answer
 PATIENCE = 4.0  # an attempt out for so many usual times counts against its server
 GOOD_SHARE = 0.35  # an answer in this share of its aim widens the window of attempts, a later one narrows it
 WINDOW, WIDEST = 2.0, 4.0  # attempts of all for each server while half the answers are good; most times that
@@ -164,6 +165,7 @@
         self.requests: dict[int, Request] = {}
         self.calls: dict[int, deque[tuple[Request, float, int]]] = {}
         self.usual = [c.aim * FIRST_WORK_SHARE for c in settings.classes]
+        self.quickest = [0.0 for _ in settings.classes]  # least time that an answer of late took, creeping up
         self.again, self.strain, self.first_work = AGAIN_MOST, 1.0, max(self.usual)
         self.value = sum(c.worth / c.aim for c in settings.classes) / len(self.usual) / FIRST_WORK_SHARE
         self.agenda: list[tuple[int, int, Callable[[Any], None], Any]] = []
@@ -203,6 +205,7 @@
             raise ValueError(f"classes are {len(kinds)}: wanted no fewer than the {len(old)} known")
         kept = [self.usual[n] if n < len(old) and old[n] == kind else None for n, kind in enumerate(kinds)]
         self.usual = [kinds[n].aim * FIRST_WORK_SHARE if u is None else u for n, u in enumerate(kept)]
+        self.quickest = [0.0 if u is None else self.quickest[n] for n, u in enumerate(kept)]
         self.settings = replace(self.settings, classes=kinds)
 
     def _restricted(self, event: Restricted) -> None:
@@ -297,6 +300,8 @@
         hold = max(0, int(min((rule.aim - usual) * HOLD_SHARE, event.time_left * HOLD_MOST)))
         request.waits_till = min(request.last, self.now + hold)
         self._plan(min(request.last, self.now + int(hold * QUEUE_SHARE / HOLD_SHARE)), self._time_up, request)
+        if event.time_left < self.quickest[request.kind]:  # no box answers in that time
+            return self._answer(request)
         self.value += LEARN / 10 * (self._worth(request) / usual - self.value)
         weight, room = self._weigh(request)
         customer.ask(weight, self.now)
@@ -450,6 +455,8 @@
             self.window = max(LEARN, min(max(2.0, WIDEST * self.usual_window), self.window + LEARN * step))
             self._judge(attempt, True, event.took / usual, None, customer.plan)
             self.usual[request.kind] = usual + LEARN * (min(event.took, 5 * usual) - usual)
+            least = self.quickest[request.kind] or event.took
+            self.quickest[request.kind] = min(float(event.took), least + CREEP * (usual - least))
         elif event.result not in (Result.CANCELLED, Result.NOT_SENT) and (
                 event.result is not Result.TIMED_OUT or event.took >= PATIENCE * usual):  # else little time
             self._judge(attempt, False, None, customer.plan if event.result is Result.TURNED_AWAY else None)
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -147,3 +147,23 @@
     assert most <= control.MOST_WAITING and len(waits) > 480 and lost <= 5
     assert sorted(waits)[int(0.99 * len(waits))] <= 150 * MS
     assert desk.attempts and name(0)
+
+
+def test_a_request_whose_time_cannot_suffice_is_refused_at_once() -> None:
+    """Lost: it was sent on, a box worked for nobody, and its refusal came when its time was all but over."""
+    desk = Desk(counter=False)
+    for _ in range(20):
+        number, actions = desk.ask()
+        desk.end(number, of(Send, actions)[0].server, took=80 * MS)
+    hopeless, actions = desk.ask(left=60 * MS)
+    assert [refused.request for refused in of(Refuse, actions)] == [hopeless] and not of(Send, actions)
+    _, actions = desk.ask(left=100 * MS)
+    assert of(Send, actions)
+
+
+def test_the_least_time_creeps_up_once_boxes_are_slower() -> None:
+    desk = Desk(counter=False)
+    for took in [20 * MS] + 300 * [80 * MS]:
+        number, actions = desk.ask()
+        desk.end(number, of(Send, actions)[0].server, took=took)
+    assert of(Refuse, desk.ask(left=60 * MS)[1])
