A door's report on a socket of the file system, and irisdeal queues top

Need: the tool for fair queues. A door whose configuration names a path as 'report' answers each connection there with one JSON document: what waits, what is out, and its watch of stores. The socket is its owner's alone; one that a dead door left is taken over, one in use or a plain file ends the start with one line.

--- a/irisdeal/cli/main.py
+++ b/irisdeal/cli/main.py
@@ -15,6 +15,7 @@
 from rich.progress import BarColumn, Progress, TextColumn, TimeElapsedColumn
 
 from irisdeal import __version__
+from irisdeal.cli.queues import queues
 from irisdeal.cli.routes import routes
 
 if TYPE_CHECKING:
@@ -40,6 +41,7 @@
     """Front doors that keep each store to its quota before a shared fleet, and the tools round them."""
 
 
+main.add_command(queues)
 main.add_command(routes)
 
 
@@ -72,10 +74,12 @@
               help="Whose run line starts the doors; else deploy/balancer.toml here or above.")
 @click.option("--stores", type=click.IntRange(0, 10_000), default=5, show_default=True,
               help="How many of the stores furthest over their quotas to show; --json has all.")
+@click.option("--reports", type=click.Path(file_okay=False, exists=True, path_type=Path), default=None,
+              metavar="DIR", help="Where the doors make the sockets of their reports, for `irisdeal queues`.")
 @click.option("--list", "list_them", is_flag=True, help="List the built-in scenarios and end.")
 def demo(
     name: str, doors: int | None, seconds: float | None, seed: int, out: Path | None,
-    deploy_file: Path | None, stores: int, list_them: bool,
+    deploy_file: Path | None, stores: int, reports: Path | None, list_them: bool,
 ) -> None:
     """Play a day: stand-ins on loopback, real doors as processes, and the five rules judged.
 
@@ -99,7 +103,7 @@
     try:
         day = draw(scenarios.load(name).resized(doors, seconds), seed)
         deploy = find_deploy(Path.cwd(), deploy_file)
-        outcome = _play(day, deploy, quiet=out is not None and str(out) == "-")
+        outcome = _play(day, deploy, out is not None and str(out) == "-", reports)
     except (scenarios.ScenarioError, CannotRun, ValueError) as error:
         raise Unusable(str(error)) from None
     if out is not None:
@@ -116,7 +120,7 @@
     sys.exit(0 if outcome.kept else 1)
 
 
-def _play(day: Day, deploy: Deploy, quiet: bool) -> Outcome:
+def _play(day: Day, deploy: Deploy, quiet: bool, reports: Path | None) -> Outcome:
     """Play with a progress bar on standard error; Ctrl-C and SIGTERM end it in good order, twice at once."""
     import uvloop
 
@@ -142,7 +146,8 @@
                       "{task.total:.0f} s"), TimeElapsedColumn(), console=console, disable=quiet,
                       transient=True) as bar:
             shown = bar.add_task(day.scenario.name, total=day.scenario.seconds)
-            return await play(day, deploy, lambda s: bar.update(shown, completed=s), stop, started)
+            return await play(day, deploy, lambda s: bar.update(shown, completed=s), stop, started,
+                              reports and reports.absolute())
 
     try:
         return uvloop.run(run())
--- /dev/null
+++ b/irisdeal/cli/queues.py
@@ -0,0 +1,147 @@
+"""`irisdeal queues`: what waits at the doors, and which stores it is."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+import time
+from collections.abc import Iterable
+from dataclasses import asdict
+from pathlib import Path
+
+import click
+from rich.console import Console, Group, RenderableType
+from rich.live import Live
+from rich.table import Table
+from rich.text import Text
+
+from irisdeal.queueing.top import BadReport, Door, Row, merge, read
+
+WITHIN = 2.0  # s for a door to answer
+MOST_REPORT = 1 << 20  # bytes; a report of 50 stores has some 15,000
+Answer = tuple[Door, list[Row]] | str  # a report, or why there is none
+
+
+@click.group()
+def queues() -> None:
+    """What waits at the doors, by store.
+
+    A door tells it on the socket that its configuration names as `report`; without that key it tells nothing.
+
+    Example: irisdeal queues top /run/irisdeal/*.sock
+    """
+
+
+@queues.command()
+@click.argument("sockets", type=click.Path(path_type=Path), nargs=-1, required=True)
+@click.option("--count", type=click.IntRange(1, 500), default=20, show_default=True, help="How many stores.")
+@click.option("--every", type=click.FloatRange(0.1, 60), default=1.0, show_default=True, metavar="SECONDS",
+              help="Between two looks.")
+@click.option("--for", "seconds", type=click.FloatRange(0), default=None, metavar="SECONDS",
+              help="End after that; else it goes on until Ctrl-C.")
+@click.option("--once", is_flag=True, help="One look, then end.")
+@click.option("--json", "as_json", is_flag=True, help="For machines: one look as JSON.")
+def top(
+    sockets: tuple[Path, ...], count: int, every: float, seconds: float | None, once: bool, as_json: bool,
+) -> None:
+    """The stores that ask most, over all doors named: what they got, how long they waited, who heeds advice.
+
+    Live until Ctrl-C, or one look with --once or --json. Exit code 0, 1 where a door did not answer the last
+    look, 2 where none ever did.
+
+    Example: irisdeal queues top /run/irisdeal/n1.sock /run/irisdeal/n2.sock --count 10
+    """
+    answers = asyncio.run(_ask(sockets))
+    if all(isinstance(answer, str) for answer in answers.values()):
+        for path, why in answers.items():
+            click.echo(f"irisdeal: {path}: {why}", err=True)
+        sys.exit(2)
+    if as_json:
+        click.echo(json.dumps(_plain(answers, count), indent=1))
+    elif once:
+        Console().print(_tables(answers, count))
+    else:
+        answers = _follow(sockets, answers, count, every, seconds)
+    sys.exit(1 if any(isinstance(answer, str) for answer in answers.values()) else 0)
+
+
+def _follow(
+    sockets: tuple[Path, ...], answers: dict[Path, Answer], count: int, every: float, seconds: float | None,
+) -> dict[Path, Answer]:
+    ends = None if seconds is None else time.monotonic() + seconds
+    with Live(_tables(answers, count), auto_refresh=False) as live:
+        try:
+            while ends is None or time.monotonic() < ends:
+                time.sleep(every if ends is None else max(0.0, min(every, ends - time.monotonic())))
+                answers = asyncio.run(_ask(sockets))
+                live.update(_tables(answers, count), refresh=True)
+        except KeyboardInterrupt:
+            pass
+    return answers
+
+
+async def _ask(sockets: Iterable[Path]) -> dict[Path, Answer]:
+    paths = list(dict.fromkeys(sockets))
+    return dict(zip(paths, await asyncio.gather(*(_one(path) for path in paths)), strict=True))
+
+
+async def _one(path: Path) -> Answer:
+    """One door's report, or in words why there is none."""
+    try:
+        async with asyncio.timeout(WITHIN):
+            reader, writer = await asyncio.open_unix_connection(str(path))
+            try:
+                text = await reader.read(MOST_REPORT)
+                while not reader.at_eof() and len(text) < MOST_REPORT:
+                    text += await reader.read(MOST_REPORT - len(text))
+            finally:
+                writer.close()
+    except TimeoutError:
+        return f"no answer within {WITHIN:g} s"
+    except OSError as error:
+        return f"{error.strerror or error}: wanted the socket that a door's configuration names as report"
+    try:
+        return read(json.loads(text))
+    except BadReport as error:
+        return str(error)
+    except ValueError:
+        return "its answer is no JSON" if text else "it closed without an answer"
+
+
+def _reports(answers: dict[Path, Answer]) -> list[tuple[Door, list[Row]]]:
+    return [answer for answer in answers.values() if not isinstance(answer, str)]
+
+
+def _plain(answers: dict[Path, Answer], count: int) -> dict[str, object]:
+    reports = _reports(answers)
+    return {
+        "doors": [asdict(door) for door, _ in reports],
+        "silent": {str(path): why for path, why in answers.items() if isinstance(why, str)},
+        "stores": [{**asdict(row), "wait": row.mean_wait} for row in merge(reports, count)]}
+
+
+def _table(title: str) -> Table:
+    return Table(title=title, title_justify="left", box=None, padding=(0, 1, 0, 0), pad_edge=False)
+
+
+def _tables(answers: dict[Path, Answer], count: int) -> RenderableType:
+    doors = _table("Doors")
+    for name in ("door", "waiting", "KiB", "queues", "given way", "out", "window", "asked", "sent",
+                 "refused"):
+        doors.add_column(name, justify="left" if name == "door" else "right", no_wrap=True)
+    reports = _reports(answers)
+    for door, _ in sorted(reports, key=lambda report: report[0].name):
+        doors.add_row(door.name, str(door.queued), f"{door.bytes / 1024:.0f}", str(door.queues),
+                      str(door.given_way), str(door.out), f"{door.window:.0f}", str(door.asked),
+                      str(door.sent), str(door.refused))
+    silent = [Text(f"{path}: {why}", style="red") for path, why in answers.items() if isinstance(why, str)]
+    stores = _table("Stores that lately ask most, over these doors; waits in ms")
+    for name in ("store", "plan", "share", "asked", "sent", "refused", "wait", "longest", "advice", "doors"):
+        stores.add_column(name, justify="left" if name in ("store", "plan") else "right", no_wrap=True)
+    for row in merge(reports, count):
+        stores.add_row(
+            row.customer.lstrip("0") or "0", row.plan, f"{100 * row.share:.1f}%", str(row.asked),
+            str(row.sent), str(row.refused), "-" if row.mean_wait is None else f"{row.mean_wait:.1f}",
+            f"{row.longest:.0f}", f"{row.heeded}/{row.heeded + row.ignored}", str(len(row.doors)))
+    return Group(doors, *silent, "", stores)
--- a/irisdeal/demo/run.py
+++ b/irisdeal/demo/run.py
@@ -49,10 +49,12 @@
 async def play(
     day: Day, deploy: Deploy, progress: Callable[[float], None] = lambda _: None,
     interrupted: asyncio.Event | None = None, started: Callable[[list[int]], None] = lambda _: None,
+    reports: Path | None = None,
 ) -> Outcome:
     """Play a day with real doors. Ends early, in good order, once `interrupted` is set.
 
-    `progress` hears the seconds played, `started` the doors' process ids once all are ready.
+    `progress` hears the seconds played, `started` the doors' process ids once all are ready. `reports` is a
+    folder for the sockets of the doors' own reports, nN.sock each.
 
     Raises `CannotRun` where the doors cannot be built or started. Whatever happens, every process that was
     started here has ended on return.
@@ -60,6 +62,7 @@
     stop = interrupted or asyncio.Event()
     await build(deploy)
     platform = Platform(day)
+    platform.reports = reports
     await platform.start()
     with make_folder() as folder:
         doors = DoorProcesses(platform, deploy, Path(folder), day.seed)
--- a/irisdeal/door/config.py
+++ b/irisdeal/door/config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -11,6 +12,7 @@
 from cresspulley.interface import Settings
 
 Address = tuple[str, int]
+MOST_SOCKET_PATH = 107  # bytes; unix(7): 108 with the null that ends it
 
 
 class ConfigError(ValueError):
@@ -44,6 +46,7 @@
     connect_timeout: int
     keepalive: int
     routes: Routes | None = None
+    report: str | None = None  # where the door's own report is to be had: a socket of the file system
 
 
 def address(text: object, what: str) -> Address:
@@ -114,9 +117,18 @@
         connect_timeout=reader.whole("permissions.connect_timeout_us", "250000"),
         keepalive=reader.whole("permissions.keepalive_us", "30000000"),
         routes=_routes(told.get("routes")),
+        report=_report(told.get("report")),
     )
 
 
+def _report(told: object) -> str | None:
+    if told is None:
+        return None
+    if not isinstance(told, str) or not told.startswith("/") or len(os.fsencode(told)) > MOST_SOCKET_PATH:
+        raise ConfigError(f"report is {told!r}: wanted an absolute path of {MOST_SOCKET_PATH} bytes at most")
+    return told
+
+
 def _routes(told: object) -> Routes | None:
     if told is None:
         return None
--- a/irisdeal/door/loop.py
+++ b/irisdeal/door/loop.py
@@ -6,7 +6,7 @@
 import logging
 import time
 from collections.abc import Callable, Iterator
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from cresspulley.interface import (
     Action, Arrival, AttemptEnded, Cancel, CloseIdle, Count, CountAnswer, Decider, Event, Fail, FetchList,
@@ -16,6 +16,9 @@
 from irisdeal.door.config import Address, Config
 from irisdeal.door.counter import Counter
 
+if TYPE_CHECKING:
+    from irisdeal.queueing.watch import QueueWatch
+
 log = logging.getLogger("irisdeal.door")
 
 RESCUE_PAUSE = 10_000  # µs after a failed decision: one that fails each time must not spin
@@ -45,10 +48,10 @@
 class Open:
     """A request in the books: until it is answered and none of its attempts is out."""
 
-    __slots__ = ("attempts", "client", "final", "gives_up", "guard", "out")
+    __slots__ = ("attempts", "client", "final", "gives_up", "guard", "out", "taken")
 
-    def __init__(self, client: ClientRequest, gives_up: int) -> None:
-        self.client, self.gives_up = client, gives_up
+    def __init__(self, client: ClientRequest, taken: int, gives_up: int) -> None:
+        self.client, self.taken, self.gives_up = client, taken, gives_up
         self.attempts: list[Attempt] = []
         self.out = 0
         self.final = False
@@ -72,6 +75,7 @@
         self.events = Batch()
         self.scheduled = self.list_known = False
         self.drain_by = 0  # when all must be answered; 0 while in service
+        self.watch: QueueWatch | None = None  # where a report is to be had
         self.on_refetch: Callable[[], None] = lambda: None
         self.on_over: Callable[[ClientRequest], None] = lambda _: None  # answered, and no attempt is out
         self.actions: dict[type, Callable[[Any], None]] = {
@@ -122,7 +126,9 @@
             left = max(1, min(left, self.drain_by - now))
         self.last_number += 1
         client.number = number = self.last_number
-        request = self.requests[number] = Open(client, now + left)
+        request = self.requests[number] = Open(client, now, now + left)
+        if self.watch is not None:
+            self.watch.took((client.customer, client.plan), client.is_retry, now)
         self.unanswered += 1
         request.guard = self._after(left + self.settings.answer_grace, self._overdue, number)
         self.post(Arrival(
@@ -222,6 +228,8 @@
         attempt = Attempt(action.request, len(request.attempts), action.server, now, self._ended)
         request.attempts.append(attempt)
         request.out += 1
+        if self.watch is not None and not attempt.number:
+            self.watch.went((request.client.customer, request.client.plan), now - request.taken)
         place = self.places.get(action.server)
         left = request.gives_up - now
         if action.timeout > 0:
@@ -262,6 +270,9 @@
         if request is not None and not request.final:
             delay = min(action.retry_after, self.settings.longest_advice) if self.settings.may_advise else 0
             status = 503 if request.attempts else 429
+            if self.watch is not None:
+                client = request.client
+                self.watch.refused_one((client.customer, client.plan), delay, self.clock.now())
             request.client.reply(status, b"refused: try again\n", retry_after(delay))
             self._final(action.request, request)
 
--- a/irisdeal/door/program.py
+++ b/irisdeal/door/program.py
@@ -23,6 +23,7 @@
 from irisdeal.door.limits import share
 
 if TYPE_CHECKING:
+    from irisdeal.door.report import Report
     from irisdeal.door.routed import Router
 
 log = logging.getLogger("irisdeal")
@@ -65,6 +66,11 @@
             from irisdeal.door.routed import Router  # a door without routes imports none of it
 
             self.router = Router(config, config.routes, self.door, self.clients, loop)
+        self.report: Report | None = None
+        if config.report is not None:
+            from irisdeal.door.report import Report
+
+            self.report = Report(config.report, self.door, loop)
         self.over = asyncio.Event()
         self.stopping = False
 
@@ -81,6 +87,7 @@
         if self.router is not None:
             await self.router.first()
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
+        await self.tell()
         self.start()
         gc.collect()
         gc.freeze()
@@ -88,11 +95,21 @@
         self.discovery.stop()
         if self.router is not None:
             self.router.stop()
+        if self.report is not None:
+            self.report.stop()
         # Answers just written leave with their connections, which close once written.
         until = self.loop.time() + 0.15
         while self.clients.connections and self.loop.time() < until:
             await asyncio.sleep(0.005)
 
+    async def tell(self) -> None:
+        """Make the report to be had, where there is one. ConfigError where its socket cannot be had."""
+        if self.report is not None:
+            try:
+                await self.report.start()
+            except OSError as error:
+                raise ConfigError(f"report: {self.report.path}: {error.strerror or error}") from None
+
     def reload(self) -> None:
         """Read the configuration again: discovery and the counter may have moved."""
         try:
--- a/irisdeal/standins/platform.py
+++ b/irisdeal/standins/platform.py
@@ -51,6 +51,7 @@
         self.books = Books()
         self.doors = range(self.scenario.doors)
         self.folder = folder
+        self.reports: Path | None = None  # where the doors are to make their reports' sockets
         fleet, seed = self.scenario.fleet, day.seed
         window = round(max(c.window_ms for c in self.scenario.classes) * 1000)
         self.memories = {hall: HallMemory(window) for hall in fleet.halls}
@@ -126,7 +127,8 @@
         """What a door is told (DEPLOY, What a front door is told)."""
         revision, members = self.roster.ledger.whole(door)
         spec = self.scenario.door
-        return {
+        report = {"report": str(self.reports / f"n{door}.sock")} if self.reports is not None else {}
+        return report | {
             "name": f"n{door}", "listen": listen, "discovery": f"127.0.0.1:{self.roster.ports[door]}",
             "seed": f"{seed:016x}",
             "limits": {"cores": 1.0, "memory_mb": spec.memory_mb, "sockets": spec.sockets},
