Tests for seven guards of the fair queue that could be taken out unseen

Need: sixteen lines of the queue and of what the module asks of it were broken on purpose, one at a time. Nine were caught; the plans' weight (twice), the virtual time that never goes back, a hold that ends with its last request, tags at rest, a bound that grows and the module's word of rest were not. Each has a test now, seen to fail without its line.

--- a/tests/test_fair_queue.py
+++ b/tests/test_fair_queue.py
@@ -142,6 +142,58 @@
     assert sum(name.startswith("calm") for name in first) > 1.5 * unfair
 
 
+def test_plans_weigh_what_they_asked_and_a_quiet_one_has_its_least_part() -> None:
+    q = queue()
+    for n in range(300):
+        put(q, "large", n, plan="a")
+        put(q, "middle", n, plan="b") if n % 3 == 0 else None
+    put(q, "tiny", 0, plan="c")
+    for n in range(1, 100):
+        put(q, "tiny", n, plan="c", cost=0.01)  # it asked next to nothing
+    taken = Counter(item[0] for _ in range(200) if (item := take(q)) is not None)
+    assert 2.7 < taken["large"] / taken["middle"] < 3.3
+    served = 0.01 * (taken["tiny"] - 1) + 1.0
+    assert served >= 1.9  # weights 300, 100 and a quarter of a third of 402: of 200, not 2 / 402
+
+
+def test_one_that_comes_late_takes_turns_and_catches_up_nothing() -> None:
+    q = queue()
+    for n in range(40):
+        put(q, "greedy", n)
+    for _ in range(20):
+        take(q)
+    put(q, "once")
+    assert take(q) == ("once", 0)
+    for n in range(10):
+        put(q, "late", n)
+    names = [item[0] for _ in range(10) if (item := take(q)) is not None]
+    assert 4 <= names.count("late") <= 6
+
+
+def test_a_store_that_was_held_with_its_last_request_may_be_served_again() -> None:
+    q = queue()
+    entry, _ = put(q, "a")
+    q.hold(flow_of(entry))
+    q.remove(entry)
+    put(q, "a", 1)
+    assert take(q) == ("a", 1)
+
+
+def test_at_rest_all_is_forgotten_that_stores_and_plans_had() -> None:
+    q = queue()
+    for n in range(5):
+        put(q, "a", n, plan="p")
+    drain(q)
+    q.rest()
+    assert q.flows == 0
+    put(q, "a", plan="p")
+    put(q, "b", plan="z")
+    assert drain(q) == ["a", "b"]  # alike again, so the one that came first
+    put(q, "c")
+    with pytest.raises(ValueError, match="wanted none at rest"):
+        q.rest()
+
+
 def test_the_longest_queue_gives_way_and_never_the_newest_quiet_store() -> None:
     q = queue(entries=100)
     for n in range(90):
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -70,6 +70,25 @@
     assert not desk.gateway.queue.entries and not desk.gateway.requests
 
 
+def test_a_bound_that_grows_lets_go_what_it_held() -> None:
+    desk = Desk(counter=False)
+    desk.ask(customer=4, plan=CAPPED)
+    customer = desk.gateway.customers[4, CAPPED]
+    customer.bound = 1  # as with a large total
+    waiting, actions = desk.ask(customer=4, plan=CAPPED)
+    assert not of(Send, actions)
+    customer.told_at, customer.total, customer.mine_then = desk.now, 0.001, customer.mine
+    _, actions = desk.ask(customer=4, plan=CAPPED)  # its total is known now: all ask next to nothing
+    assert customer.bound == 2 and waiting in {send.request for send in of(Send, actions)}
+
+
+def test_with_nothing_waiting_the_queue_remembers_nobody() -> None:
+    desk = Desk(counter=False)
+    for n in range(5):
+        desk.serve(customer=n)
+    assert desk.gateway.queue.flows == 0
+
+
 def test_mass_departure_while_queued_leaves_nothing_behind() -> None:
     desk = Desk(counter=False)
     full_window(desk)
