--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -188,7 +188,8 @@
             "print([m for m in sys.modules if m.partition('.')[0] in "
             "('click', 'rich', 'tomllib', 'yaml', 'referencing') or m.startswith(("
             "'irisdeal.standins', 'irisdeal.demo', 'irisdeal.cli', 'irisdeal.routes', 'irisdeal.sources', "
-            "'irisdeal.door.routed'))])")
+            "'irisdeal.door.routed', 'irisdeal.door.report', 'irisdeal.queueing.watch', "
+            "'irisdeal.queueing.top', 'irisdeal.queueing.sketch'))])")
     done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
     assert done.stdout.strip() == "[]"
 
