What waits is let go by the band it came in with, so a sunken head holds up nobody

Need: the fair queue orders requests by the band of worth that they came in with; the dispatch asked the window by the head's band as it was by then. Where a class's usual time had grown meanwhile, the head no longer fitted the window, and everything behind it stood until an attempt ended or for 20 ms. Likewise where attempts are spaced out (a window under one) a head that had to wait held up dearer requests, whose window is wider.

Change: a store's queue knows its band and both go by it; a band that has to wait is passed over and the next higher ones are asked, with another look after the usual pause. Ruled out: ordering anew by the band of now, which would cost a move of each waiting request whenever a usual time moves.

Measured: two tests, both fail on the old lines (nothing was sent) and pass now; fair-queue, patience and mechanism tests pass.

--- a/cresspulley/control.py
+++ b/cresspulley/control.py
@@ -356,30 +356,31 @@
 
     def _dispatch(self) -> None:
         """Send those that wait, each in its turn, while bounds, ceilings and servers allow."""
-        queue = self.queue
+        queue, closed = self.queue, 0
         while queue.entries:
-            entry = queue.head(bisect_right(BANDS, self.out / self.window))
-            if entry is None:  # an attempt's end or a store's refill opens the way
-                return
+            entry = queue.head(max(closed, bisect_right(BANDS, self.out / self.window)))
+            if entry is None or entry.flow is None:  # an attempt's end or a store's refill opens the way
+                return self._look_again() if closed else None
             request, flow, customer = entry.item, entry.flow, entry.item.customer
             lack = request.units - customer.refill(self.now) if customer.plan.ceiling_rate else 0.0
             ready = self.now + int(min(1e9, max(0.0, lack) / max(1e-9, customer.ceiling_rate)))
             if lack > 0 and ready > request.waits_till:  # nothing to wait for
                 self._answer(request)
                 continue
-            if flow and (lack > 0 or (customer.bound and customer.out >= customer.bound)):
+            if lack > 0 or (customer.bound and customer.out >= customer.bound):
                 queue.hold(flow)
                 customer.held.append(flow)
                 if lack > 0 and customer.looks_at <= self.now:
                     customer.looks_at = ready + NO_SERVER_PAUSE
                     self._plan(customer.looks_at, self._free, customer)
                 continue
-            server = self._pick(request) if self._open(request, self._band(request)) else None
-            if server is None:
-                if self.looks_at <= self.now:
-                    self.looks_at = self.now + NO_SERVER_PAUSE
-                    self._plan(self.looks_at, lambda _: None, None)
-                return
+            # By the band it came in with, as the queue goes: its head's worth may have moved since, and
+            # asked anew it would hold up all that it has been put before.
+            if not self._open(request, flow.band):
+                closed = flow.band + 1  # so few attempts that they are spaced out: closer for higher bands
+                continue
+            if (server := self._pick(request)) is None:
+                return self._look_again()
             queue.serve(entry)
             customer.waiting -= 1
             customer.take(request.units, self._weigh(request)[0])
@@ -387,6 +388,11 @@
             self._send(request, server)
         queue.rest()
 
+    def _look_again(self) -> None:
+        if self.looks_at <= self.now:
+            self.looks_at = self.now + NO_SERVER_PAUSE
+            self._plan(self.looks_at, lambda _: None, None)
+
     def _free(self, customer: Customer) -> None:
         """Its bound or its ceiling may have room again."""
         while customer.held:
--- a/irisdeal/queueing/fair.py
+++ b/irisdeal/queueing/fair.py
@@ -83,13 +83,13 @@
 
 
 class Flow(_Node, Generic[T]):
-    """One store's queue in one band. `held` while a rule keeps it from being served."""
+    """One store's queue in one band, by its number. `held` while a rule keeps it from being served."""
 
-    __slots__ = ("entries", "held", "key")
+    __slots__ = ("band", "entries", "held", "key")
 
-    def __init__(self, key: Hashable, parent: _Node, weight: float) -> None:
+    def __init__(self, key: Hashable, band: int, parent: _Node, weight: float) -> None:
         super().__init__(parent, weight)
-        self.key, self.held = key, False
+        self.key, self.band, self.held = key, band, False
         self.entries: OrderedDict[Entry[T], None] = OrderedDict()
 
     def __len__(self) -> int:
@@ -145,7 +145,7 @@
         key = (band, plan, store)
         flow = self._flows.get(key)
         if flow is None:
-            flow = self._flows[key] = Flow(key, group, weight)
+            flow = self._flows[key] = Flow(key, band, group, weight)
         self._idle.pop(flow, None)
         flow.weight = weight
         flow.entries[entry] = None
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -7,7 +7,7 @@
 from cresspulley import control
 from cresspulley.interface import Arrival, Refuse, RequestEnded, Result, Send, Woken
 from irisdeal.queueing.fair import FairQueue
-from tests.desk import CAPPED, CEILED, FREE, MS, SAFE, SECOND, Desk, name, of, plan
+from tests.desk import CAPPED, CEILED, FREE, KEYED, MS, RATED, SAFE, SECOND, Desk, name, of, plan
 
 
 def full_window(desk: Desk) -> None:
@@ -32,6 +32,32 @@
     assert open_window(desk, 2) == [greedy[0], quiet]
 
 
+def test_a_head_whose_worth_has_sunk_holds_up_nobody_behind_it() -> None:
+    """Lost: the queue went by the band it came in with and the window by its band of now, so all stood."""
+    desk = Desk(counter=False)
+    full_window(desk)
+    sunk = desk.ask(customer=1, plan=FREE, kind=SAFE)[0]
+    dear = desk.ask(customer=2, plan=RATED, kind=KEYED)[0]
+    gateway = desk.gateway
+    came, gateway.usual[SAFE] = gateway._band(gateway.requests[sunk]), 4.0 * gateway.usual[SAFE]
+    now = gateway._band(gateway.requests[sunk])
+    gateway.window, gateway.out = 5.0, 3
+    assert control.BANDS[now] * gateway.window < gateway.out < control.BANDS[came] * gateway.window - 1
+    assert [send.request for send in of(Send, desk.give(Woken(0)))] == [sunk, dear]
+
+
+def test_where_attempts_are_spaced_out_a_dearer_request_goes_before_a_cheap_head() -> None:
+    desk = Desk(counter=False)
+    full_window(desk)
+    cheap, dear = desk.ask(customer=1)[0], desk.ask(customer=2, units=4.0)[0]
+    gateway = desk.gateway
+    # Less than one at once: a cheap one each two usual times, the dearest as soon as nothing is out.
+    gateway.window, gateway.out, gateway.last_sent = 0.5, 0, desk.now
+    assert [send.request for send in of(Send, desk.give(Woken(0)))] == [dear]
+    gateway.out, gateway.last_sent = 0, desk.now - int(2 * gateway.usual[SAFE])
+    assert cheap in [send.request for send in of(Send, desk.run(2 * control.NO_SERVER_PAUSE))]
+
+
 def test_what_waits_for_the_fleet_is_refused_at_once_when_its_wait_is_over() -> None:
     """Held for the sake of a slot that a standing queue never gives, it would only be late."""
     desk = Desk(counter=False)
