A door asks its machine through one object: time, listening socket, readable, configuration

Besides the loop a door now asks nobody else for the time, a listening socket, whether a descriptor can be read, the configuration read again and the collector's pass at its start. Nothing else changes; the door's own `Clock` goes into it.

--- a/irisdeal/door/backends.py
+++ b/irisdeal/door/backends.py
@@ -12,7 +12,7 @@
 from cresspulley.interface import LoadReport, Result
 from cresspulley.wire import COLUMNS
 from irisdeal.door.config import Address, Config
-from irisdeal.door.quiet import has_bytes
+from irisdeal.door.host import Host
 
 log = logging.getLogger("irisdeal.backends")
 
@@ -177,7 +177,7 @@
         """Nothing has come since the last answer: what came would be taken for the next one."""
         if self.transport is None or self.transport.is_closing():
             return False
-        return not has_bytes(self.file)
+        return not self.pool.host.has_bytes(self.file)
 
     def _stall(self) -> None:
         if self.attempt is not None:
@@ -287,7 +287,10 @@
 class Pool:
     """The connections to all backends, bounded in number."""
 
-    def __init__(self, config: Config, most: int, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self, config: Config, most: int, loop: asyncio.AbstractEventLoop, host: Host | None = None,
+    ) -> None:
+        self.host = host or Host()
         self.loop, self.most, self.rest_time, self.stall_time = loop, most, REST, STALLED
         self.connect_timeout = config.connect_timeout / 1e6
         self.keep = self.longest = config.keepalive / 1e6 * IDLE_SHARE
--- a/irisdeal/door/clients.py
+++ b/irisdeal/door/clients.py
@@ -15,8 +15,8 @@
 
 from cresspulley.interface import Plan, Repeat
 from irisdeal.door.config import Config
+from irisdeal.door.host import Host
 from irisdeal.door.listener import Listener
-from irisdeal.door.quiet import has_bytes
 from irisdeal.overload.places import IDLE_FOR, SILENT_FOR, Places, Stage
 
 log = logging.getLogger("irisdeal.clients")
@@ -429,7 +429,7 @@
 
     def is_quiet(self) -> bool:
         """Idle, and nothing waits to be read: closed over a request that has come, it would be reset."""
-        return self.is_idle() and self.transport is not None and not has_bytes(self.file)
+        return self.is_idle() and self.transport is not None and not self.side.host.has_bytes(self.file)
 
     def retire(self) -> None:
         """Close an idle connection; one whose next request has come already is read first."""
@@ -478,9 +478,10 @@
 
     def __init__(
         self, config: Config, door: Taker, most: int, reserve: int, loop: asyncio.AbstractEventLoop,
-        now: Callable[[], float] | None = None,
+        now: Callable[[], float] | None = None, host: Host | None = None,
     ) -> None:
         self.config, self.door, self.loop = config, door, loop
+        self.host = host or Host()
         self.now = now or loop.time
         self.classes = {name.encode(): n for n, name in enumerate(config.classes)}
         self.plans = {name.encode(): n for n, name in enumerate(config.plans)}
@@ -489,7 +490,7 @@
         self.open_traces: set[bytes] = set()
         self.draining = False
         self.router: Router | None = None
-        self.listener = Listener(self.admit, loop, self.room)
+        self.listener = Listener(self.admit, loop, self.room, self.host)
 
     @property
     def connections(self) -> Collection[Client]:
@@ -511,7 +512,7 @@
     def room(self) -> bool:
         """Whether a connection that waits may be accepted; where all places are taken, one is made free."""
         waiting = self.listener.socket
-        if self.places.room() or waiting is None or not has_bytes(waiting.fileno()):
+        if self.places.room() or waiting is None or not self.host.has_bytes(waiting.fileno()):
             return True  # with none waiting, nothing need be closed for it
         asked = False
         for client in self.places.candidates(self.now()):
--- a/irisdeal/door/listener.py
+++ b/irisdeal/door/listener.py
@@ -14,7 +14,7 @@
 from typing import Protocol
 
 from irisdeal.door.config import Address
-from irisdeal.door.quiet import has_bytes
+from irisdeal.door.host import Host
 from irisdeal.overload.backlog import Backlog
 
 log = logging.getLogger("irisdeal.listener")
@@ -43,9 +43,9 @@
 
     def __init__(
         self, admit: Callable[[], Accepted], loop: asyncio.AbstractEventLoop,
-        room: Callable[[], bool] = lambda: True,
+        room: Callable[[], bool] = lambda: True, host: Host | None = None,
     ) -> None:
-        self.admit, self.loop, self.room = admit, loop, room
+        self.admit, self.loop, self.room, self.host = admit, loop, room, host or Host()
         self.socket: socket.socket | None = None
         self.tasks: set[asyncio.Task[None]] = set()
         self.backlog = Backlog()
@@ -53,7 +53,7 @@
         self.on_closed: Callable[[], None] = lambda: None
 
     def listen(self, address: Address) -> None:
-        made = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
+        made = self.host.listening(socket.AF_INET6 if ":" in address[0] else socket.AF_INET)
         try:
             made.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)  # a restart takes its address again
             made.bind((address[0].strip("[]"), address[1]))
@@ -94,7 +94,7 @@
     def _accept(self) -> None:
         count = self._take()
         if self.socket is not None:
-            more = has_bytes(self.socket.fileno())
+            more = self.host.has_bytes(self.socket.fileno())
             if (length := self.backlog.took(count, more, self.loop.time())) is not None:
                 self.socket.listen(length)  # a listening socket takes a new length as it is
 
--- a/irisdeal/door/loop.py
+++ b/irisdeal/door/loop.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import time
 from collections.abc import Callable, Iterator
 from typing import TYPE_CHECKING, Any
 
@@ -15,6 +14,7 @@
 from irisdeal.door.clients import ClientRequest, retry_after
 from irisdeal.door.config import Address, Config
 from irisdeal.door.counter import Counter
+from irisdeal.door.host import Host
 
 if TYPE_CHECKING:
     from irisdeal.queueing.watch import QueueWatch
@@ -24,16 +24,6 @@
 RESCUE_PAUSE = 10_000  # µs after a failed decision: one that fails each time must not spin
 
 
-class Clock:
-    """Whole microseconds that never go back and agreed with Unix time at the start."""
-
-    def __init__(self) -> None:
-        self.offset = time.time_ns() - time.monotonic_ns()
-
-    def now(self) -> int:
-        return (time.monotonic_ns() + self.offset) // 1000
-
-
 class Batch(list[Event]):
     """Events that tell how far a reader got, so that one that fails does not take the others along."""
 
@@ -61,10 +51,13 @@
 class Door:
     """Transport for one `Decider`."""
 
-    def __init__(self, config: Config, decider: Decider, pool: Pool, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self, config: Config, decider: Decider, pool: Pool, loop: asyncio.AbstractEventLoop,
+        host: Host | None = None,
+    ) -> None:
         self.config, self.decider, self.pool, self.loop = config, decider, pool, loop
         self.settings = config.settings
-        self.clock = Clock()
+        self.clock = host or Host()
         self.counter: Counter | None = None
         if config.counter is not None:
             self.counter = Counter(config.counter, self.settings.counter_timeout, self.post, loop)
--- a/irisdeal/door/program.py
+++ b/irisdeal/door/program.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import gc
 import logging
 import os
 import signal
@@ -19,6 +18,7 @@
 from irisdeal.door.clients import ClientSide
 from irisdeal.door.config import Config, ConfigError, load
 from irisdeal.door.discovery import Discovery
+from irisdeal.door.host import Host
 from irisdeal.door.loop import Door
 from irisdeal.door.limits import share
 
@@ -53,12 +53,15 @@
 class Program:
     """One front door, from its start to its end."""
 
-    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop, decider: Decider) -> None:
+    def __init__(
+        self, config: Config, loop: asyncio.AbstractEventLoop, decider: Decider, host: Host | None = None,
+    ) -> None:
         limits = share(config.sockets)
-        self.loop = loop
-        self.pool = Pool(config, limits.backends, loop)
-        self.door = Door(config, decider, self.pool, loop)
-        self.clients = ClientSide(config, self.door, limits.clients, limits.reserve, loop)
+        self.loop, self.host = loop, host or Host()
+        self.pool = Pool(config, limits.backends, loop, self.host)
+        self.door = Door(config, decider, self.pool, loop, self.host)
+        self.clients = ClientSide(
+            config, self.door, limits.clients, limits.reserve, loop, host=self.host)
         self.discovery = Discovery(config, self.door.listed)
         self.door.on_refetch = self.discovery.refetch
         self.router: Router | None = None
@@ -89,8 +92,7 @@
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
         await self.tell()
         self.start()
-        gc.collect()
-        gc.freeze()
+        self.host.settled()
         await self.over.wait()
         self.discovery.stop()
         if self.router is not None:
@@ -113,7 +115,7 @@
     def reload(self) -> None:
         """Read the configuration again: discovery and the counter may have moved."""
         try:
-            config = load(os.environ, again=True)
+            config = self.host.read_again()
         except ConfigError as error:
             return log.error("the old configuration goes on: %s", " ".join(str(error).split()))
         log.info("configuration read again: discovery %s:%d, counter %s:%d",
