A world in virtual time: one clock, machines with loops of their own, a network in memory

Need: schedules of faults too rare for a rig that plays 20 s in 20 s, played again to the byte.

An agenda in exact order with a trail that names the first step in which two runs differ; machines with asyncio's calls, CPU counted by a stated model, signals, kills and pauses; TCP as both ends see it: cut segments, resets, queues, windows, descriptors, silent and cut ways. A world with nothing due says who waits for what; one that spins is ended and named.

Measured: 21 tests, among them a property over random writes, losses, silences and kills: what is heard is always the begin of what was written.

--- /dev/null
+++ b/tests/test_sim.py
@@ -0,0 +1,470 @@
+"""The world in virtual time: its clock, its machines, and what its network promises and does not."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from irisdeal.sim import world as worlds
+from irisdeal.sim.machine import Core, Costs, Machine
+from irisdeal.sim.net import WINDOW, Network, Port, Transport, Way
+from irisdeal.sim.world import START, Spinning, Stuck, Trail, World, first_difference
+
+HERE = ("127.0.0.1", 700)
+
+
+class Peer(asyncio.Protocol):
+    """Keeps what it hears."""
+
+    def __init__(self, answers: bytes = b"", reads: bool = True, half: bool = False) -> None:
+        self.answers, self.reads, self.half = answers, reads, half
+        self.heard = b""
+        self.pieces = 0
+        self.transport: Any = None
+        self.lost: list[Exception | None] = []
+        self.eof = self.full = False
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+        if not self.reads:
+            transport.pause_reading()
+
+    def data_received(self, data: bytes) -> None:
+        self.heard += data
+        self.pieces += 1
+        if self.answers:
+            self.transport.write(self.answers)
+
+    def eof_received(self) -> bool:
+        self.eof = True
+        return self.half
+
+    def pause_writing(self) -> None:
+        self.full = True
+
+    def resume_writing(self) -> None:
+        self.full = False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.lost.append(exc)
+
+
+class Rig:
+    """Two machines and what lies between them."""
+
+    def __init__(self, seed: int = 1, way: Way | None = None, files: int = 100, **costs: int) -> None:
+        self.world = World(seed)
+        self.net = Network(self.world, way or Way())
+        self.server = Machine(self.world, self.net, "server", Core(), Costs(**costs), files=files)
+        self.client = Machine(self.world, self.net, "client", Core(), Costs())
+        self.peers: list[Peer] = []
+
+    def serve(self, make: Callable[[], Peer] = Peer) -> None:
+        def made() -> Peer:
+            self.peers.append(peer := make())
+            return peer
+        self.net.serve(self.server, made, HERE)
+
+    def run(self, work: Coroutine[Any, Any, Any], seconds: float = 60.0) -> Any:
+        """Run on the client's machine to its end."""
+        done: list[Any] = []
+
+        async def main() -> int:
+            done.append(await work)
+            return 0
+
+        self.client.start(main())
+        self.world.run(lambda: self.client.dead, START + round(seconds * 1e6))
+        assert not self.client.errors, self.client.errors
+        return done[0]
+
+    async def connect(self, peer: Peer | None = None) -> Peer:
+        _, made = await self.client.create_connection(lambda: peer or Peer(), *HERE)
+        assert isinstance(made, Peer)
+        return made
+
+
+def test_timers_of_one_moment_go_in_the_order_they_were_set() -> None:
+    rig, order = Rig(), list[int]()
+
+    async def work() -> None:
+        loop = asyncio.get_running_loop()
+        for n in range(20):
+            loop.call_later(0.5, order.append, n)
+        loop.call_later(0.4, order.append, -1)
+        cancelled = loop.call_later(0.45, order.append, 99)
+        cancelled.cancel()
+        await asyncio.sleep(1.0)
+
+    rig.run(work())
+    assert order == [-1, *range(20)]
+    assert rig.world.now == START + 1_000_000  # and no time was spent waiting
+
+
+def test_asyncio_works_as_it_does_elsewhere() -> None:
+    rig = Rig()
+
+    async def work() -> list[str]:
+        seen = []
+        try:
+            async with asyncio.timeout(0.2):
+                await asyncio.sleep(5)
+        except TimeoutError:
+            seen.append("timed out")
+        event = asyncio.Event()
+        asyncio.get_running_loop().call_later(0.1, event.set)
+        await event.wait()
+        seen.append("event")
+        seen += await asyncio.gather(asyncio.sleep(0.2, "b"), asyncio.sleep(0.1, "a"))
+        task = asyncio.get_running_loop().create_task(asyncio.sleep(10))
+        await asyncio.sleep(0)
+        task.cancel()
+        done, _ = await asyncio.wait({task}, timeout=1)
+        seen.append(f"cancelled {task.cancelled()} {len(done)}")
+        return seen
+
+    assert rig.run(work()) == ["timed out", "event", "b", "a", "cancelled True 1"]
+
+
+def test_a_turn_takes_its_core_and_what_is_on_it_waits() -> None:
+    """One core for two machines: the second begins when the first is done, and its timer is late."""
+    world = World(1)
+    net, core = Network(world), Core()
+    one = Machine(world, net, "one", core, Costs(call=5_000))
+    two = Machine(world, net, "two", core, Costs(call=1_000))
+    began = []
+    one.call_soon(lambda: began.append(("one", one.instant())))
+    two.call_later(0.001, lambda: began.append(("two", two.instant())))
+    world.at(START + 100_000, "end", lambda: None)
+    with pytest.raises(Stuck, match="nothing is due"):
+        world.run(lambda: False, START + 10**9)
+    assert began == [("one", START + 5_000), ("two", START + 6_000)]
+    assert two.latest == 4_000
+    assert core.free_at == START + 6_000
+
+
+def test_grains_are_counted_as_the_real_loop_counts_them() -> None:
+    world = World(1)
+    machine = Machine(world, Network(world), "door", Core(), Costs(turn=300), grain=1_000)
+    seen = []
+    machine.call_later(0.0014, lambda: seen.append((world.now - START, machine.time())))
+    world.at(START + 10_000, "end", lambda: None)
+    with pytest.raises(Stuck):
+        world.run(lambda: False, START + 10**9)
+    assert seen == [(1_000, (START + 1_000) / 1e6)]
+
+
+def test_a_world_that_waits_for_nothing_says_who_waits() -> None:
+    rig = Rig()
+
+    async def forever() -> None:
+        await asyncio.get_running_loop().create_future()
+
+    waits = r"nothing is due.*(?s:.*)client: Task-\d+ in .*forever \(test_sim.py:\d+\)"
+    with pytest.raises(Stuck, match=waits):
+        rig.run(forever())
+
+    rig = Rig()
+    with pytest.raises(Stuck, match="not over after 3 s"):
+        rig.run(asyncio.sleep(9), seconds=3)
+
+
+def test_a_world_that_spins_is_ended_and_named(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(worlds, "MOST_AT_ONCE", 1_000)
+    rig = Rig()
+
+    async def spin() -> None:
+        while True:
+            await asyncio.sleep(0)
+
+    with pytest.raises(Spinning, match=r"1000 entries at 0\.000000 s, of late: client"):
+        rig.run(spin())
+
+
+def test_bytes_come_in_order_in_pieces_and_then_the_end() -> None:
+    rig = Rig(way=Way(delay=200, jitter=900))
+    rig.serve()
+
+    async def work() -> Peer:
+        peer = await rig.connect()
+        for n in range(200):
+            peer.transport.write(b"%04d" % n)
+        peer.transport.close()
+        await asyncio.sleep(1)
+        return peer
+
+    peer = rig.run(work())
+    assert rig.peers[0].heard == b"".join(b"%04d" % n for n in range(200))
+    assert rig.peers[0].eof and rig.peers[0].lost == [None] and peer.lost == [None]
+    assert rig.peers[0].pieces > 1
+    assert not any(isinstance(f, Transport) for f in rig.server.files.values())
+    assert len(rig.server.files) == 1  # what listens
+
+
+def test_closed_over_unread_bytes_a_connection_is_reset() -> None:
+    rig = Rig()
+    rig.serve(lambda: Peer(reads=False))
+
+    async def work() -> Peer:
+        peer = await rig.connect()
+        peer.transport.write(b"a request")
+        await asyncio.sleep(0.1)
+        rig.peers[0].transport.abort()
+        await asyncio.sleep(0.1)
+        return peer
+
+    assert isinstance(rig.run(work()).lost[0], ConnectionResetError)
+
+
+def test_what_comes_after_a_close_is_answered_with_a_reset() -> None:
+    """A half-closed end that writes on: the other process is not there any more."""
+    rig = Rig()
+    rig.serve()
+
+    async def work() -> Peer:
+        peer = await rig.connect(Peer(half=True))
+        await asyncio.sleep(0.1)
+        rig.peers[0].transport.close()
+        await asyncio.sleep(0.1)
+        assert peer.eof and not peer.lost
+        peer.transport.write(b"too late")
+        await asyncio.sleep(0.1)
+        return peer
+
+    assert isinstance(rig.run(work()).lost[0], ConnectionResetError)
+
+
+def test_a_killed_process_loses_what_it_had_not_written_and_nothing_else() -> None:
+    rig = Rig(way=Way(delay=10_000, jitter=0))
+    rig.serve(lambda: Peer(answers=b"answer"))
+
+    async def work() -> Peer:
+        peer = await rig.connect()
+        peer.transport.write(b"ask")
+        await asyncio.sleep(0.011)  # the answer has left, and is on its way
+        rig.server.kill()
+        await asyncio.sleep(0.1)
+        return peer
+
+    peer = rig.run(work())
+    assert peer.heard == b"answer" and peer.eof
+    assert rig.server.exit_code == -signal.SIGKILL
+
+
+def test_what_a_turn_was_to_write_after_the_kill_does_not_leave() -> None:
+    """The turn of a slow machine began before the kill and would have written after it."""
+    rig = Rig(way=Way(delay=10_000, jitter=0), read=5_000, write=5_000)
+    rig.serve(lambda: Peer(answers=b"answer"))
+
+    async def work() -> Peer:
+        peer = await rig.connect()
+        peer.transport.write(b"ask")
+        await asyncio.sleep(0.0105)  # the turn that reads has begun
+        rig.server.kill()
+        await asyncio.sleep(0.1)
+        return peer
+
+    assert rig.run(work()).heard == b""
+
+
+def test_a_full_queue_drops_and_the_connection_comes_up_a_second_later() -> None:
+    rig = Rig()
+    port = Port(rig.net, rig.server)
+    port.bind(HERE)
+    port.listen(1)
+    taken: list[Any] = []
+
+    async def work() -> float:
+        loop = asyncio.get_running_loop()
+        tasks = [loop.create_task(rig.connect()) for _ in range(3)]
+        done, waiting = await asyncio.wait(tasks, timeout=0.5)
+        assert len(done) == 2 and len(waiting) == 1 and port.dropped == 1
+        taken.append(port.accept())
+        begun = loop.time()
+        await waiting.pop()
+        return loop.time() - begun
+
+    assert 0.4 < rig.run(work()) < 0.6  # the SYN's second try, 1 s after its first
+    with pytest.raises(BlockingIOError):
+        for _ in range(3):
+            port.accept()
+
+
+def test_nobody_listens_or_the_way_is_cut() -> None:
+    way = Way()
+    rig = Rig(way=way)
+
+    async def work() -> list[str]:
+        seen = []
+        for cut in (False, True):
+            way.cut = cut
+            try:
+                async with asyncio.timeout(0.25):
+                    await rig.connect()
+            except (OSError, TimeoutError) as error:
+                seen.append(type(error).__name__)
+        return seen
+
+    assert rig.run(work()) == ["ConnectionRefusedError", "TimeoutError"]
+    assert not rig.client.files
+
+
+def test_a_silent_way_holds_all_and_gives_it_in_order() -> None:
+    way = Way()
+    rig = Rig(way=way)
+    rig.serve()
+
+    async def work() -> None:
+        peer = await rig.connect()
+        peer.transport.write(b"one ")
+        await asyncio.sleep(0.1)
+        way.silent = True
+        peer.transport.write(b"two ")
+        await asyncio.sleep(0.1)
+        peer.transport.write(b"three")
+        peer.transport.close()
+        await asyncio.sleep(5)
+        assert rig.peers[0].heard == b"one " and not rig.peers[0].eof
+        rig.net.release(way)
+        await asyncio.sleep(0.1)
+
+    rig.run(work())
+    assert rig.peers[0].heard == b"one two three" and rig.peers[0].eof
+
+
+def test_a_peer_that_does_not_read_fills_the_window_and_stops_the_sender() -> None:
+    rig = Rig()
+    rig.serve(lambda: Peer(reads=False))
+
+    async def work() -> Peer:
+        peer = await rig.connect()
+        for _ in range(8):
+            peer.transport.write(bytes(100_000))
+        await asyncio.sleep(1)
+        assert peer.full and peer.transport.get_write_buffer_size() == 800_000 - WINDOW
+        rig.peers[0].transport.resume_reading()
+        await asyncio.sleep(1)
+        return peer
+
+    peer = rig.run(work())
+    assert not peer.full and len(rig.peers[0].heard) == 800_000
+
+
+def test_a_rate_makes_bytes_take_time() -> None:
+    rig = Rig(way=Way(delay=0, jitter=0, rate=100_000))
+    rig.serve(lambda: Peer(answers=b"."))
+
+    async def work() -> float:
+        loop = asyncio.get_running_loop()
+        peer = await rig.connect()
+        begun = loop.time()
+        peer.transport.write(bytes(20_000))
+        while not peer.heard:
+            await asyncio.sleep(0.001)
+        return loop.time() - begun
+
+    assert 0.19 < rig.run(work()) < 0.22
+
+
+def test_descriptors_run_out() -> None:
+    rig = Rig(files=3)
+    rig.serve()  # one listens
+
+    async def work() -> None:
+        for _ in range(2):
+            await rig.connect()
+        await asyncio.sleep(0.1)
+        assert len(rig.peers) == 2 and len(rig.server.files) == 3
+        with pytest.raises(OSError, match="Too many open files"):
+            await rig.net.connect(rig.server, Peer, HERE)
+        rig.peers[0].transport.close()
+        await asyncio.sleep(0.1)
+        assert len(rig.server.files) == 2
+
+    rig.run(work())
+
+
+def test_signals_end_a_process_unless_it_handles_or_ignores_them() -> None:
+    world = World(1)
+    net = Network(world)
+    heard: list[int] = []
+    plain, deaf, handles = (Machine(world, net, name, Core(), Costs()) for name in ("a", "b", "c"))
+    deaf.ignore(signal.SIGHUP)
+    handles.add_signal_handler(signal.SIGHUP, heard.append, 1)
+    for machine in (plain, deaf, handles):
+        machine.signal(signal.SIGHUP)
+    world.at(START + 1, "end", lambda: None)
+    world.run(lambda: world.now > START, START + 10)
+    assert (plain.exit_code, deaf.dead, handles.dead, heard) == (-signal.SIGHUP, False, False, [1])
+
+
+def test_a_paused_process_goes_on_where_it_stood() -> None:
+    rig = Rig()
+    rig.serve(lambda: Peer(answers=b"!"))
+
+    async def work() -> float:
+        loop = asyncio.get_running_loop()
+        peer = await rig.connect()
+        await asyncio.sleep(0.1)
+        rig.server.pause(rig.world.now + 700_000)
+        begun = loop.time()
+        peer.transport.write(b"?")
+        while not peer.heard:
+            await asyncio.sleep(0.01)
+        return loop.time() - begun
+
+    assert 0.69 < rig.run(work()) < 0.73
+
+
+@settings(max_examples=150, deadline=None)
+@given(
+    seed=st.integers(0, 10**6), sizes=st.lists(st.integers(1, 70_000), min_size=1, max_size=12),
+    jitter=st.integers(0, 5_000), loss=st.sampled_from([0.0, 0.2]),
+    kill=st.one_of(st.none(), st.floats(0, 0.6)),
+    silent=st.booleans())
+def test_what_is_heard_is_always_the_begin_of_what_was_written(
+    seed: int, sizes: list[int], jitter: int, loss: float, kill: float | None, silent: bool,
+) -> None:
+    """TCP's promise, whatever happens on the way; all of it where nobody dies."""
+    way = Way(jitter=jitter, loss=loss)
+    rig = Rig(seed, way)
+    rig.serve()
+    sent = b"".join(bytes([n % 256]) * size for n, size in enumerate(sizes))
+
+    async def work() -> None:
+        peer = await rig.connect()
+        if kill is not None:
+            rig.world.at(rig.world.now + round(kill * 1e6), "kill", rig.server.kill)
+        for n, size in enumerate(sizes):
+            if peer.transport.is_closing():
+                break
+            peer.transport.write(bytes([n % 256]) * size)
+            if silent and n == 2:
+                way.silent = True
+            await asyncio.sleep(0.05)
+        rig.net.release(way)
+        peer.transport.close()
+        await asyncio.sleep(20)
+
+    rig.run(work())
+    heard = rig.peers[0].heard if rig.peers else b""
+    assert sent.startswith(heard)
+    if kill is None:
+        assert heard == sent and rig.peers[0].eof
+        assert len(rig.server.files) == 1 and not rig.client.files
+
+
+def test_trails_name_the_first_block_in_which_two_runs_differ() -> None:
+    one, other = Trail(), Trail(keep=2)
+    for n in range(1_000):
+        one.note(n, "step")
+        other.note(n + (n == 600), "step")
+    assert first_difference(one, one) is None
+    assert first_difference(one, other) == 600 // worlds.BLOCK == 2
+    assert "601 step" in other.kept and len(other.kept) == worlds.BLOCK
