--- /dev/null
+++ b/irisdeal/chaos/files.py
@@ -0,0 +1,27 @@
+"""Schedules as files: scenarios in TOML that pytest, `irisdeal chaos replay` and `irisdeal demo` read."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from pathlib import Path
+
+import tomli_w
+
+from irisdeal.chaos.schedule import Table
+
+
+def as_toml(table: Table, broken: Sequence[str], texts: Sequence[str]) -> str:
+    """The file's text: what broke as a comment, then the schedule."""
+    lines = [f"# Breaks: {', '.join(broken)}" if broken else "# Breaks nothing."]
+    lines += [f"#   {' '.join(text.split())[:200]}" for text in texts[:3]]
+    return "\n".join(lines) + "\n" + tomli_w.dumps(table)
+
+
+def write(folder: Path, table: Table, broken: Sequence[str], texts: Sequence[str]) -> Path:
+    """A new file in a folder, named by what breaks and numbered."""
+    name = broken[0] if broken else "kept"
+    number = 1
+    while (path := folder / f"{name}-{number}.toml").exists():
+        number += 1
+    path.write_text(as_toml(table, broken, texts), "utf-8")
+    return path
--- /dev/null
+++ b/irisdeal/chaos/timeline.py
@@ -0,0 +1,81 @@
+"""A day that was played, as lines in the order of time: faults, doors, breaches, one request or box."""
+
+from __future__ import annotations
+
+from irisdeal.chaos.day import Played
+from irisdeal.standins.books import Attempt, DoorLife, Taken
+
+Line = tuple[int, str]
+
+
+def timeline(played: Played, trace: str = "", box: str = "", door: int | None = None) -> list[str]:
+    """Lines with their time in s; empty where what was asked for never came up."""
+    books = played.books
+    lines: list[Line] = [(at, f"fault: {text}") for at, text in books.faults]
+    for life in books.doors:
+        if door is None or life.door == door:
+            lines += _life(life)
+    found = False
+    if trace:
+        ask = next((t.ask for t in books.taken if t.trace == trace), None)
+        tries = [t for t in books.taken if t.ask == ask and ask is not None]
+        names = {t.trace for t in tries}
+        found = bool(tries)
+        for taken in tries:
+            lines += _taken(taken)
+        lines += [line for a in books.attempts if a.trace in names for line in _attempt(a)]
+    if box:
+        mine = [a for a in books.attempts if a.box == box]
+        told = [t for t in books.told if t.box == box]
+        found = found or bool(mine or told or any(life.box == box for life in books.lives))
+        lines += [line for a in mine for line in _attempt(a)]
+        lines += [(t.at, f"door {t.door} is told: {box} {t.phase}") for t in told]
+        lines += [(life.at, f"{box} starts, life {life.life}") for life in books.lives
+                  if life.box == box and life.at]
+        lines += [(at, f"{box} falls over, life {n}") for name, n, at in books.fallen if name == box]
+    if door is not None:
+        found = found or any(life.door == door for life in books.doors)
+        for taken in (t for t in books.taken if t.door == door):
+            lines += _taken(taken)
+        lines += [(t.at, f"door {door} is told: {t.box} {t.phase}") for t in books.told if t.door == door]
+    if not (trace or box or door is not None):
+        found = True
+    for breach in played.verdict.breaches:
+        at = breach.times[-1] if breach.times else played.start
+        if not (trace or box) or breach.request == trace or box in breach.boxes:
+            lines.append((at, f"BROKEN: {breach.text(played.start)}"))
+    if not found:
+        return []
+    lines.sort(key=lambda line: line[0])
+    return [f"{(at - played.start) / 1e6:>11.6f}  {text}" for at, text in lines] + [
+        f"            {text}" for text in played.crashes + played.errors + played.left]
+
+
+def _life(life: DoorLife) -> list[Line]:
+    door = f"door {life.door}"
+    found = [(life.started, f"{door} starts"), (life.ready, f"{door} is ready"),
+             (life.terminated, f"{door} gets SIGTERM"), (life.killed, f"{door} is killed"),
+             (life.ended, f"{door} has ended with {life.code}")]
+    return [line for line in found if line[0]]
+
+
+def _taken(taken: Taken) -> list[Line]:
+    name = f"{taken.trace} ({taken.kind}, {taken.plan}, try {taken.attempt}, door {taken.door})"
+    lines = [(taken.due, f"{name} is due, waits {taken.wait / 1000:.0f} ms")]
+    if taken.at:
+        lines.append((taken.at, f"{name} is written"))
+    lines += [(a.at, f"{name} is answered {a.status}") for a in taken.answers]
+    if taken.cut:
+        lines.append((taken.cut, f"{name}: its connection ends with no answer"))
+    if taken.gave_up:
+        lines.append((taken.gave_up, f"{name} is given up by its client"))
+    return lines
+
+
+def _attempt(attempt: Attempt) -> list[Line]:
+    name = f"{attempt.trace} at {attempt.box} ({attempt.hall}, from door {attempt.door})"
+    lines = [(attempt.last_byte, f"{name} has come")]
+    if attempt.ended:
+        ran = ", ran" * attempt.ran + ", an effect" * attempt.effect
+        lines.append((attempt.ended, f"{name}: {attempt.end.value}{ran}"))
+    return lines
--- a/irisdeal/cli/main.py
+++ b/irisdeal/cli/main.py
@@ -15,6 +15,7 @@
 from rich.progress import BarColumn, Progress, TextColumn, TimeElapsedColumn
 
 from irisdeal import __version__
+from irisdeal.cli.chaos import chaos
 from irisdeal.cli.queues import queues
 from irisdeal.cli.routes import routes
 
@@ -41,6 +42,7 @@
     """Front doors that keep each store to its quota before a shared fleet, and the tools round them."""
 
 
+main.add_command(chaos)
 main.add_command(queues)
 main.add_command(routes)
 
@@ -65,8 +67,8 @@
 @click.option("--doors", type=click.IntRange(1, 16), default=None, help="In place of the scenario's.")
 @click.option("--seconds", type=click.FloatRange(0.5, 3600), default=None,
               help="In place of the scenario's; its timeline moves along.")
-@click.option("--seed", type=click.IntRange(0), default=1, show_default=True,
-              help="The same seed draws the same day.")
+@click.option("--seed", type=click.IntRange(0), default=None,
+              help="The same seed draws the same day.  [default: the scenario's, mostly 1]")
 @click.option("--json", "out", type=click.Path(dir_okay=False, path_type=Path), default=None, metavar="FILE",
               help="Also write the figures to a file; - for standard output in place of the tables.")
 @click.option("--deploy", "deploy_file", type=click.Path(dir_okay=False, path_type=Path), default=None,
@@ -78,7 +80,7 @@
               metavar="DIR", help="Where the doors make the sockets of their reports, for `irisdeal queues`.")
 @click.option("--list", "list_them", is_flag=True, help="List the built-in scenarios and end.")
 def demo(
-    name: str, doors: int | None, seconds: float | None, seed: int, out: Path | None,
+    name: str, doors: int | None, seconds: float | None, seed: int | None, out: Path | None,
     deploy_file: Path | None, stores: int, reports: Path | None, list_them: bool,
 ) -> None:
     """Play a day: stand-ins on loopback, real doors as processes, and the five rules judged.
@@ -101,7 +103,8 @@
     if out is not None and str(out) != "-" and not os.access(out.parent, os.W_OK):
         raise Unusable(f"--json {out}: cannot be written")
     try:
-        day = draw(scenarios.load(name).resized(doors, seconds), seed)
+        scenario = scenarios.load(name)
+        day = draw(scenario.resized(doors, seconds), scenario.seed if seed is None else seed)
         deploy = find_deploy(Path.cwd(), deploy_file)
         outcome = _play(day, deploy, out is not None and str(out) == "-", reports)
     except (scenarios.ScenarioError, CannotRun, ValueError) as error:
--- /dev/null
+++ b/tests/test_chaos.py
@@ -0,0 +1,357 @@
+"""Days in virtual time and the search on them: exact, judged whole, and able to find what is planted."""
+
+from __future__ import annotations
+
+import os
+import random
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+from click.testing import CliRunner
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from irisdeal.chaos import search as searching
+from irisdeal.chaos.day import Played, play
+from irisdeal.chaos.files import as_toml
+from irisdeal.chaos.judge import Judged, judge
+from irisdeal.chaos.planted import BUGS, NAMES, planted
+from irisdeal.chaos.schedule import (
+    FIRST, LAST, PAIRS, SECONDS, Moment, Table, aimed, drawn, mutated, pairs_of, scenario, with_faults)
+from irisdeal.chaos.search import Search, SearchError, judges
+from irisdeal.chaos.shrink import Shrinker
+from irisdeal.chaos.timeline import timeline
+from irisdeal.cli.main import main
+from irisdeal.door.program import Program
+from irisdeal.standins.scenario import parse
+from irisdeal.standins.schedule import draw
+
+HERE = Path(__file__).parent
+FOUND = sorted((HERE / "found").glob("*.toml"))
+PLANTED = sorted((HERE / "planted").glob("*.toml"))
+FIXED = 200  # days that CI plays
+QUIET: Table = {"base": "small", "seed": 4, "seconds": 3.0, "at": []}
+
+
+def days(count: int, seed: int) -> list[Table]:
+    rng = random.Random(seed)
+    return [drawn(n, rng) for n in range(count)]
+
+
+def day(table: Table, **how: Any) -> Played:
+    made = scenario(table)
+    return play(draw(made, made.seed), **how)
+
+
+# What is found stays
+
+
+def test_fixed_days_keep_all_rules() -> None:
+    broken = []
+    with judges(min(8, os.cpu_count() or 1)) as judge_all:
+        for number, judged in judge_all(days(FIXED, 20261201)):
+            if judged.broken:
+                broken.append((number, judged.broken, judged.texts))
+    assert not broken
+
+
+@pytest.mark.parametrize("file", FOUND, ids=lambda file: file.stem)
+def test_what_was_found_once_stays_mended(file: Path) -> None:
+    judged = judge(read(file), look=False)
+    assert not judged.broken, judged.texts
+
+
+@pytest.mark.parametrize("file", PLANTED, ids=lambda file: file.stem)
+def test_a_planted_bug_breaks_its_schedule_and_nothing_else_does(file: Path) -> None:
+    table = read(file)
+    assert not judge(table, look=False).broken
+    assert judge(table, bug=file.stem, look=False).broken
+
+
+def read(file: Path) -> Table:
+    import tomllib
+
+    return tomllib.loads(file.read_text("utf-8"))
+
+
+def test_there_is_a_schedule_for_most_planted_bugs() -> None:
+    names = {file.stem for file in PLANTED}
+    assert names <= set(NAMES)
+    assert len(names) >= 15 and len(BUGS) >= 20
+
+
+# Exact
+
+
+def test_a_day_is_the_same_to_the_byte_in_other_processes() -> None:
+    code = ("import random\nfrom irisdeal.chaos.judge import judge\n"
+            "from irisdeal.chaos.schedule import drawn\nrng = random.Random(5)\n"
+            "print([judge(drawn(n, rng)).digest for n in range(4)])")
+    told = {subprocess.run([sys.executable, "-c", code], check=True, capture_output=True, text=True,
+                           cwd=HERE.parent, env={**os.environ, "PYTHONHASHSEED": seed}).stdout
+            for seed in ("1", "999")}
+    rng = random.Random(5)
+    assert told == {f"{[judge(drawn(n, rng)).digest for n in range(4)]}\n"}
+
+
+def test_another_seed_is_another_day() -> None:
+    assert day(QUIET).digest() != day({**QUIET, "seed": 5}).digest()
+
+
+def test_a_fault_moves_nothing_before_it() -> None:
+    """What aiming at a moment stands on."""
+    kill = {"at_s": 1.5, "do": "door-kill", "door": 0, "for_s": 0.5}
+    calm, struck = day(QUIET), day(with_faults(QUIET, [kill]))
+    at = calm.start + 1_500_000
+
+    def before(played: Played) -> list[Any]:
+        return [(t.trace, t.at, [a for a in t.answers if a.at < at])
+                for t in played.books.taken if t.due < at]
+
+    assert struck.start == calm.start
+    assert before(calm) == before(struck)
+    assert len(before(calm)) > 30 and calm.digest() != struck.digest()
+
+
+# Judged whole
+
+
+def test_a_quiet_day_serves_all_and_leaves_nothing() -> None:
+    played = day(QUIET)
+    assert played.kept and not played.broken()
+    assert played.service.whole.share > 0.95
+    assert all(life.code == 0 for life in played.books.doors)
+    assert played.seconds < 8
+
+
+def test_what_a_door_keeps_for_good_is_told() -> None:
+    def leaky(program: Program) -> None:
+        taken = program.door.take
+
+        def take(client: Any) -> None:
+            taken(client)
+            program.clients.open_traces.add(b"kept" + client.trace)
+        program.door.take = take  # type: ignore[method-assign]
+
+    played = day(QUIET, spoil=leaky)
+    assert played.broken() == ["left"]
+    assert "open traces" in played.left[0]
+
+
+def test_an_error_that_nobody_caught_and_an_end_by_itself_are_told() -> None:
+    def broken(program: Program) -> None:
+        def reload() -> None:
+            raise ValueError("planted")
+        program.reload = reload  # type: ignore[method-assign]
+
+    table = with_faults(QUIET, [{"at_s": 1.0, "do": "door-reload", "door": 1}])
+    played = day(table, spoil=broken)
+    assert played.broken() == ["error"] and "planted" in played.errors[0]
+
+    def ends(program: Program) -> None:
+        program.loop.call_later(0.8, program.over.set)
+
+    assert "crash" in day(QUIET, spoil=ends).broken()
+
+
+def test_a_kill_amid_a_restart_is_one_start_and_not_two() -> None:
+    """Found by the search: both brought the door back, and the second start found the address taken."""
+    played = day(with_faults({**QUIET, "seconds": 6.0}, [
+        {"at_s": 1.0, "do": "door-restart", "door": 1},
+        {"at_s": 1.3, "do": "door-kill", "door": 1, "for_s": 2.0}]))
+    assert played.kept, played.crashes
+    lives = [life for life in played.books.doors if life.door == 1]
+    assert len(lives) == 2 and lives[1].started - lives[0].killed >= 2_000_000
+
+
+def test_doors_on_one_core_wait_for_each_other() -> None:
+    busy = {**QUIET, "load": {"use": 0.4}}
+    assert day(busy, cores=1).latest > day(busy).latest
+
+
+# Schedules
+
+
+@settings(max_examples=200, deadline=None)
+@given(seed=st.integers(0, 10**9), number=st.integers(0, 10**6), pairs=st.booleans())
+def test_every_schedule_drawn_changed_or_aimed_is_a_scenario(seed: int, number: int, pairs: bool) -> None:
+    rng = random.Random(seed)
+    table = drawn(number, rng, pairs)
+    moment = Moment("here", rng.uniform(FIRST, LAST - 0.1), rng.randrange(3), "hall-b")
+    for made in (table, mutated(table, rng), mutated(mutated(table, rng), rng), aimed(table, [moment], rng)):
+        assert made is not None
+        checked = scenario(made)
+        assert parse(as_toml(made, ["x"], ["y"])) == checked
+        assert all(f.at_s >= FIRST and f.at_s + f.for_s <= max(LAST + 0.05, SECONDS) for f in checked.faults)
+    if pairs:
+        assert PAIRS[number % len(PAIRS)] in pairs_of(table)
+
+
+def test_a_fault_is_aimed_at_a_moment_to_the_microsecond() -> None:
+    made = aimed(QUIET, [Moment("now", 1.234567, 2, "hall-a")], random.Random(1))
+    assert made is not None and made["at"][0]["at_s"] == 1.234567
+    assert aimed(QUIET, [Moment("too early", 0.1)], random.Random(1)) is None
+
+
+# Shrinking
+
+
+def test_the_least_schedule_is_found_and_the_plays_are_bounded() -> None:
+    rng = random.Random(3)
+    table = next(t for t in (drawn(n, rng, pairs=False) for n in range(100))
+                 if {"box-hang", "door-kill"} <= {f["do"] for f in t["at"]} and len(t["at"]) >= 5)
+
+    def breaks(candidate: Table) -> bool:
+        scenario(candidate)  # each is one that can be played
+        return {"box-hang", "door-kill"} <= {f["do"] for f in candidate["at"]} and candidate["doors"] >= 2
+
+    shrinker = Shrinker(breaks)
+    least = shrinker.shrink(table)
+    assert sorted(f["do"] for f in least["at"]) == ["box-hang", "door-kill"]
+    assert least["doors"] == 2 and least["fleet"]["boxes"] == 1 and least["seconds"] < table["seconds"]
+    assert shrinker.plays <= 200
+
+    few = Shrinker(breaks, most=5)
+    few.shrink(table)
+    assert few.plays == 5
+
+
+def test_a_breach_that_vanishes_when_shrunk_keeps_the_schedule_as_it_was() -> None:
+    table = drawn(1, random.Random(2))
+    assert Shrinker(lambda candidate: False).shrink(table) == table
+
+
+def test_one_that_breaks_without_any_fault_is_shrunk_to_none() -> None:
+    assert Shrinker(lambda candidate: True).shrink(drawn(1, random.Random(2)))["at"] == []
+
+
+# The search
+
+
+def fake(table: Table) -> Judged:
+    """A judge whose states follow from the schedule, and that breaks where two kinds meet."""
+    kinds = sorted({f["do"] for f in table["at"]})
+    pairs = {hash_of(one + other) for one in kinds for other in kinds}
+    broken = ["answers"] if {"box-hang", "keeper-flush", "door-kill"} <= set(kinds) else []
+    return Judged(table, broken, ["it broke"] if broken else [], pairs=pairs, states=pairs,
+                  moments=[Moment("here", 2.0, 1, "hall-a")], asks=100, virtual=7.0, real=0.1)
+
+
+def hash_of(text: str) -> int:
+    return int.from_bytes(text.encode()[-6:])
+
+
+def searched(generations: int, search: Search | None = None) -> Search:
+    search = search or Search(9)
+    for _ in range(generations):
+        search.learn([fake(table) for table in search.schedules()])
+    return search
+
+
+def test_a_search_that_was_cut_off_goes_on_as_if_it_had_not_been(tmp_path: Path) -> None:
+    whole = searched(6)
+    half = searched(3)
+    half.save(tmp_path)
+    again = Search.load(tmp_path)
+    assert again is not None
+    rest = searched(3, again)
+    assert rest.schedules() == whole.schedules()
+    assert (rest.days, rest.seen, rest.pairs) == (whole.days, whole.seen, whole.pairs)
+    assert rest.found == whole.found
+    assert whole.days == 6 * searching.GENERATION and whole.found
+
+
+def test_a_search_is_bounded_in_what_it_keeps(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(searching, "MOST_KEPT", 20)
+    search = searched(12)
+    assert len(search.corpus) <= 20
+    assert len(search.found) <= searching.SAME < search.breaking
+
+
+def test_a_guided_search_learns_and_a_plain_one_does_not() -> None:
+    plain = searched(3, Search(9, guided=False))
+    assert not plain.corpus and searched(3).corpus
+
+
+def test_the_file_of_a_search_that_is_none_is_refused(tmp_path: Path) -> None:
+    (tmp_path / searching.STATE).write_text("{}")
+    with pytest.raises(SearchError, match="not a search of ours"):
+        Search.load(tmp_path)
+    (tmp_path / searching.STATE).write_text("{")
+    with pytest.raises(SearchError):
+        Search.load(tmp_path)
+    assert Search.load(tmp_path / "none") is None
+
+
+def test_a_bug_is_gone_after_it_was_planted() -> None:
+    def all_of() -> dict[str, list[object]]:
+        return {bug.name: [getattr(owner, key) for owner, key, _ in bug.make()] for bug in BUGS}
+
+    before = all_of()
+    for bug in BUGS:
+        with planted(bug.name):
+            assert all_of()[bug.name] != before[bug.name]
+    assert all_of() == before
+
+
+# What a person sees
+
+
+def ask(*words: str) -> tuple[int, str]:
+    result = CliRunner().invoke(main, ["chaos", *words])
+    assert result.exception is None or isinstance(result.exception, SystemExit), result.exception
+    return result.exit_code, result.output
+
+
+def test_commands_run_replay_show_and_shrink(tmp_path: Path) -> None:
+    folder = str(tmp_path / "search")
+    code, out = ask("run", "--days", "1", "--jobs", "2", "--seed", "3", "--out", folder, "--json", "-")
+    assert code in (0, 1) and '"days": 64' in out
+    file = tmp_path / "one.toml"
+    file.write_text(as_toml(with_faults(QUIET, [
+        {"at_s": 1.0, "do": "box-drain", "boxes": 2, "for_s": 1.0}]), [], []))
+    code, out = ask("replay", str(file), "--twice")
+    assert code == 0 and "kept" in out
+    code, out = ask("replay", str(file), "--bug", "drain-unheard")
+    assert code == 1 and "drains" in out
+    code, out = ask("show", str(file), "--door", "1")
+    assert code == 0 and "Terminating" in out and "fault: box-drain" in out
+    least = tmp_path / "least.toml"
+    code, out = ask("shrink", str(file), "--bug", "drain-unheard", "--most", "30", "--to", str(least))
+    assert code == 0 and least.exists(), out
+    assert ask("replay", str(least), "--bug", "drain-unheard")[0] == 1
+    code, out = ask("prove", "--list")
+    assert code == 0 and all(bug.name in out for bug in BUGS)
+
+
+@pytest.mark.parametrize(("words", "wanted"), [
+    (["run", "--only", "nothing"], "--only nothing: no such fault: wanted some of"),
+    (["run", "--days", "3", "--minutes", "1"], "wanted one of them"),
+    (["replay", "{bad}"], "at[0]: box-hang needs boxes"),
+    (["replay", "{noise}"], "not UTF-8"),
+    (["replay", "{good}", "--bug", "none"], "--bug none: no such bug"),
+    (["show", "{good}", "--json", "x"], "No such option"),
+    (["replay", "missing.toml"], "does not exist"),
+])
+def test_bad_input_is_one_line_and_exit_code_2(words: list[str], wanted: str, tmp_path: Path) -> None:
+    (tmp_path / "bad.toml").write_text('base = "small"\n[[at]]\ndo = "box-hang"\nat_s = 1\n')
+    (tmp_path / "noise.toml").write_bytes(b"\xff\xfe")
+    (tmp_path / "good.toml").write_text('base = "small"\n')
+    code, out = ask(*(w.format(bad=tmp_path / "bad.toml", noise=tmp_path / "noise.toml",
+                               good=tmp_path / "good.toml") for w in words))
+    assert code == 2 and wanted in out and "Traceback" not in out
+
+
+def test_a_request_of_a_day_is_told_from_its_begin_to_its_end() -> None:
+    played = day(QUIET)
+    served = next(t for t in played.books.taken if t.answers and t.answers[0].status == 200)
+    lines = timeline(played, trace=served.trace)
+    order = [n for n, line in enumerate(lines) for what in ("is due", "is written", "has come", "served, ran",
+                                                            "answered 200") if f"{what}" in line]
+    assert len(order) >= 5 and order == sorted(order)
+    assert timeline(played, trace="nobody") == []
+
+
