Three holes in the framing of client requests are closed

Need: 54 request-smuggling vectors at a real door had left three: names that alias the framing where a box reads _ as - were passed on; HTTP/1.0 with Transfer-Encoding was served; fields that Connection names were passed on.

Change: `Transfer_Encoding` and `Content_Length` are refused as odd framing, other names that alias one of our own (`X_Qos`) end at the door; HTTP/1.0 with Transfer-Encoding is refused (RFC 9112, 6.1); what Connection names ends here (RFC 9110, 7.6.1), and a request whose Connection names what the box must have is refused.

Measured: seven tests, all fail without the change.

--- a/irisdeal/door/clients.py
+++ b/irisdeal/door/clients.py
@@ -41,9 +41,13 @@
 NOT_FORWARDED = frozenset((
     b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
     b"content-length", b"expect", b"x-expires-in"))
+FRAMING = (b"content-length", b"transfer-encoding")
+# What a Connection field may name beside fields of its own hop (RFC 9110, 7.6.1).
+CONNECTION_OPTIONS = frozenset((b"close", b"keep-alive", b"te", b"trailer", b"upgrade", b"http2-settings"))
 SINGLE = frozenset((
     b"x-trace-id", b"x-qos", b"plan", b"account", b"x-expires-in", b"idempotency-key", b"quota-info",
     b"x-second-try", b"host"))
+ALIASED = NOT_FORWARDED | SINGLE
 ACCOUNT = re.compile(rb"[0-9a-fA-F]{16}")
 EXPIRES = re.compile(rb"([0-9]{1,15}(?:\.[0-9]{1,9})?)([mu])")
 TOKEN = re.compile(rb"[\x21-\x7e]{1,128}")
@@ -168,6 +172,7 @@
         self.url, self.size = b"", 0
         self.lines: list[bytes] = []
         self.named: dict[bytes, bytes] = {}
+        self.hop: set[bytes] = set()  # what its Connection fields name
         self.parts: list[bytes] = []
         self.body_size, self.framed = 0, False
 
@@ -250,12 +255,20 @@
             self.named[key] = value
         elif key == b"expect":
             self.named[key] = value
-        elif key == b"content-length" or key == b"transfer-encoding":
+        elif key == b"connection":
+            self.hop.update(option for part in value.lower().split(b",") if (option := part.strip()))
+        elif key in FRAMING:
             if self.framed or (key == b"transfer-encoding" and value.strip().lower() != b"chunked"):
                 raise Malformed(400, "odd framing")  # two ways to read it may hide a request in the body
             self.framed = True
             if value.isdigit() and int(value) > MOST_BODY:
                 raise Malformed(413, f"body over {MOST_BODY} bytes")
+            if key == b"transfer-encoding" and self.parser and self.parser.get_http_version() == "1.0":
+                raise Malformed(400, "odd framing")  # RFC 9112, 6.1
+        elif b"_" in key and (plain := key.replace(b"_", b"-")) in ALIASED:
+            if plain in FRAMING:  # who reads _ as - would see another body
+                raise Malformed(400, "odd framing")
+            return  # nor another class, plan or time
         if key not in NOT_FORWARDED:
             self.lines += (name, b": ", value, b"\r\n")
 
@@ -295,6 +308,8 @@
         if not self.side.places.claim(self, self.since):
             return self._turn_away(request)
         try:
+            if not self.hop <= CONNECTION_OPTIONS:
+                self._drop_hop()
             self._read(request, self.parser)
             self.side.open_traces.add(request.trace)
             self.side.door.take(request)
@@ -305,6 +320,14 @@
             if not request.answer:
                 request.reply(500, b"failed\n")
 
+    def _drop_hop(self) -> None:
+        """Fields that Connection names end here (RFC 9110, 7.6.1); those that the box must have may not."""
+        if named := self.hop & (SINGLE | {b"content-length", b"transfer-encoding"}):
+            raise Malformed(400, f"Connection names {min(named).decode()}")
+        lines = self.lines
+        self.lines = [part for n in range(0, len(lines), 4) if lines[n].lower() not in self.hop
+                      for part in lines[n:n + 4]]
+
     def _turn_away(self, request: ClientRequest) -> None:
         """No place is free: refused before the module has seen it, so that nothing was sent on for it."""
         request.then_close = self.closing = True
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -6,6 +6,7 @@
 import uvloop
 
 from cresspulley.interface import Arrival, Refuse
+from irisdeal.door.clients import ClientRequest
 from tests.peers import Script, answer, ask, read_message, running, socket_test
 
 GET = b"GET /api HTTP/1.1\r\nHost: svc\r\n"
@@ -59,6 +60,15 @@
     (GET + b"X-Long: " + b"x" * 20_000 + b"\r\n\r\n", 431),
     (b"GET /" + b"x" * 20_000 + b" HTTP/1.1\r\nHost: svc\r\n\r\n", 431),
     (GET + b"A: 1\r\n B\x00: 2\r\n\r\n", 400),
+    # Names that a box which reads _ as - takes for the framing, and framing that HTTP/1.0 does not know.
+    (ask().replace(b"Host: svc", b"Host: svc\r\nTransfer_Encoding: chunked"), 400),
+    (ask("file").replace(b"Host: svc", b"Host: svc\r\nContent_length: 9"), 400),
+    (ask("file", Content_Length=None, Transfer_Encoding="chunked").replace(b"HTTP/1.1", b"HTTP/1.0")
+     + b"0\r\n\r\n", 400),
+    # Connection may not take away what the box must have.
+    (ask(Connection="x-trace-id"), 400),
+    (ask("file", Connection="close, Idempotency-Key"), 400),
+    (ask("file", Connection="Content-Length"), 400),
 ])
 def test_malformed_input_never_reaches_the_module(request_bytes: bytes, status: int) -> None:
     async def run() -> None:
@@ -84,6 +94,26 @@
         assert line.split()[1] == "429"
 
 
+@socket_test
+async def test_what_connection_names_and_aliases_of_our_own_names_end_here() -> None:
+    heads: list[bytes] = []
+    script = Script(lambda event: [Refuse(event.request)] if isinstance(event, Arrival) else [])
+    async with running(script) as door:
+        taken = door.program.door.take
+
+        def take(request: ClientRequest) -> None:
+            heads.append(request.head)
+            taken(request)
+
+        door.program.door.take = take  # type: ignore[method-assign, assignment]
+        extra = b"X-Hop: 1\r\nX-Kept: 2\r\nX_Qos: file\r\nx_kept: 3\r\nConnection: keep-alive, x-hop"
+        line, _, _ = await door.call(ask().replace(b"Host: svc", b"Host: svc\r\n" + extra))
+        assert line.split()[1] == "429"
+    lines = heads[0].lower().split(b"\r\n")
+    assert {b"x-kept: 2", b"x_kept: 3", b"host: svc"} <= set(lines)
+    assert not any(line.startswith((b"x-hop", b"x_qos", b"connection")) for line in lines)
+
+
 @socket_test
 async def test_a_connection_outlives_a_well_framed_mistake() -> None:
     script = Script(lambda event: [Refuse(event.request, 250_000)] if isinstance(event, Arrival) else [])
