--- a/irisdeal/chaos/day.py
+++ b/irisdeal/chaos/day.py
@@ -234,6 +234,15 @@
         await self._wait(told)
         await self._again(told, turn)
 
+    async def stall(self, door: int, seconds: float) -> None:
+        told = self.doors[door]
+        if told.machine is None or told.machine.dead:
+            return
+        until = self.world.now + round(seconds * 1e6)
+        told.machine.pause(until)
+        self.platform.books.pauses.append((door, self.platform.now(), EPOCH + until))
+        await asyncio.sleep(seconds)
+
     async def reload(self, door: int) -> None:
         told = self.doors[door]
         self._write_config(told)
--- a/irisdeal/demo/processes.py
+++ b/irisdeal/demo/processes.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import os
 import random
 import signal
@@ -89,15 +90,41 @@
 
 
 def free_port() -> int:
+    """A port of 127.0.0.1 that nobody has by now; by the time it is used somebody may."""
     with socket.socket() as made:
         made.bind(("127.0.0.1", 0))
         return int(made.getsockname()[1])
 
 
+def own_host() -> str:
+    """An address of loopback that no other run on this machine has: by our process id.
+
+    A port that was looked for and given up is anybody's until its door binds it; on an address of one's own
+    nobody else looks. Where the system has the one address alone (not Linux), that one.
+    """
+    pid = os.getpid()  # 22 bits at most (proc(5), pid_max)
+    host = f"127.{64 + (pid >> 16) % 64}.{pid >> 8 & 255}.{pid & 255}"
+    with socket.socket() as made:
+        try:
+            made.bind((host, 0))
+        except OSError:
+            return "127.0.0.1"
+    return host
+
+
+PORTS = itertools.count(10_000)  # of the doors of this process, each used once
+
+
+def own_address() -> tuple[str, int]:
+    """Where a door is to listen."""
+    host = own_host()
+    return host, free_port() if host == "127.0.0.1" else next(PORTS)
+
+
 @dataclass(slots=True)
 class _Door:
     number: int
-    port: int
+    address: tuple[str, int]
     config: Path
     process: asyncio.subprocess.Process | None = None
     life: DoorLife | None = None
@@ -108,6 +135,10 @@
     reader: asyncio.Task[None] | None = None
     watcher: asyncio.Task[None] | None = None
 
+    @property
+    def listen(self) -> str:
+        return f"{self.address[0]}:{self.address[1]}"
+
 
 class DoorProcesses:
     """The doors of one run. Implements what the platform's timeline asks of doors."""
@@ -115,7 +146,7 @@
     def __init__(self, platform: Platform, deploy: Deploy, folder: Path, seed: int) -> None:
         self.platform, self.deploy, self.folder = platform, deploy, folder
         self.random = random.Random(seed)
-        self.doors = [_Door(n, free_port(), folder / f"door-{n}.json") for n in platform.doors]
+        self.doors = [_Door(n, own_address(), folder / f"door-{n}.json") for n in platform.doors]
         self.terminals: Terminals | Crowd | None = None
         self.crashes: list[str] = []
         self.sampler: asyncio.Task[None] | None = None
@@ -123,7 +154,7 @@
 
     @property
     def addresses(self) -> list[tuple[str, int]]:
-        return [("127.0.0.1", door.port) for door in self.doors]
+        return [door.address for door in self.doors]
 
     async def start(self) -> None:
         """All doors, ready. Raises `CannotRun` where one does not come up."""
@@ -132,10 +163,10 @@
 
     async def _start(self, door: _Door) -> None:
         self.platform.write_config(
-            door.number, f"127.0.0.1:{door.port}", self.random.getrandbits(63), door.config)
+            door.number, door.listen, self.random.getrandbits(63), door.config)
         environment = {key: value for key, value in os.environ.items() if not key.startswith("EDGE_")}
         environment |= {
-            "EDGE_NAME": f"n{door.number}", "EDGE_LISTEN": f"127.0.0.1:{door.port}",
+            "EDGE_NAME": f"n{door.number}", "EDGE_LISTEN": door.listen,
             "EDGE_DISCOVERY": f"127.0.0.1:{self.platform.roster.ports[door.number]}",
             "EDGE_CONFIG": str(door.config), "TMPDIR": str(self.folder)}
         door.process = await asyncio.create_subprocess_exec(
@@ -167,7 +198,7 @@
 
     async def _healthy(self, door: _Door) -> bool:
         try:
-            reader, writer = await asyncio.open_connection("127.0.0.1", door.port)
+            reader, writer = await asyncio.open_connection(*door.address)
         except OSError:
             return False
         try:
@@ -230,9 +261,22 @@
         await self._wait(told)
         await self._again(told, turn)
 
+    async def stall(self, door: int, seconds: float) -> None:
+        told, start = self.doors[door], self.platform.now()
+        process = told.process
+        if process is None or process.returncode is not None:
+            return
+        self._signal(told, signal.SIGSTOP)
+        try:
+            await asyncio.sleep(seconds)
+        finally:
+            self.platform.books.pauses.append((door, start, self.platform.now()))
+            if told.process is process:
+                self._signal(told, signal.SIGCONT)
+
     async def reload(self, door: int) -> None:
         told = self.doors[door]
-        self.platform.write_config(door, f"127.0.0.1:{told.port}", self.random.getrandbits(63), told.config)
+        self.platform.write_config(door, told.listen, self.random.getrandbits(63), told.config)
         self._signal(told, signal.SIGHUP)
 
     async def _again(self, door: _Door, turn: int) -> None:
--- a/irisdeal/standins/books.py
+++ b/irisdeal/standins/books.py
@@ -170,6 +170,7 @@
     fallen: list[tuple[str, int, int]] = field(default_factory=list)  # box, life, µs
     doors: list[DoorLife] = field(default_factory=list)
     holds: list[Hold] = field(default_factory=list)
+    pauses: list[tuple[int, int, int]] = field(default_factory=list)  # door, µs from and to: we stopped it
     faults: list[tuple[int, str]] = field(default_factory=list)  # µs and words, as they came
     stalls: list[tuple[int, int]] = field(default_factory=list)  # µs when our loop went on, µs it stood still
 
--- a/irisdeal/standins/platform.py
+++ b/irisdeal/standins/platform.py
@@ -37,6 +37,9 @@
     async def restart(self, door: int) -> None:
         """SIGTERM, and start again once it has ended."""
 
+    async def stall(self, door: int, seconds: float) -> None:
+        """SIGSTOP, and SIGCONT after `seconds`; it is in `books.pauses` by then."""
+
     async def reload(self, door: int) -> None:
         """The configuration file is written anew already: SIGHUP."""
 
@@ -195,6 +198,7 @@
             "roster-silent": self._roster_silent, "roster-late": self._roster_late,
             "roster-lose": self._roster_lose, "hall-cut": self._hall_cut, "hall-slow": self._hall_slow,
             "hall-reset": self._hall_reset, "door-kill": self._door_kill, "door-restart": self._door_restart,
+            "door-stall": self._door_stall,
             "door-reload": self._door_reload}
         if (play := table.get(fault.do)) is not None:  # the rest is drawn into the day or the terminals'
             await play(fault, doors)
@@ -341,6 +345,9 @@
     async def _door_restart(self, fault: Fault, doors: Doors) -> None:
         await doors.restart(fault.door)
 
+    async def _door_stall(self, fault: Fault, doors: Doors) -> None:
+        await doors.stall(fault.door, fault.for_s)
+
     async def _door_reload(self, fault: Fault, doors: Doors) -> None:
         """Roster and keeper move for all doors, since each is one service; this door is told by SIGHUP."""
         await self.roster.move(self.doors)
--- a/irisdeal/standins/scenario.py
+++ b/irisdeal/standins/scenario.py
@@ -224,6 +224,7 @@
     "hall-reset": ("hall",),  # every connection to that hall is reset
     "door-kill": ("door", "for_s"),  # SIGKILL; started again after for_s
     "door-restart": ("door",),  # SIGTERM; started again when it has ended
+    "door-stall": ("door", "for_s"),  # SIGSTOP, SIGCONT after for_s: swapped out, or a starved core
     "door-reload": ("door",),  # roster and count keeper move, then SIGHUP
     "rush": ("for_s", "size"),  # all stores ask so many times as much
     "greedy": ("for_s", "size"),  # the heavy stores ask so many times as much, and heed no advice
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -168,6 +168,15 @@
     assert broken(told=told, attempts=[attempt(limit + 1)], doors=lives) == []
 
 
+def test_what_a_door_does_late_since_we_stopped_it_is_excused() -> None:
+    late = taken(Answer(LIMIT + 400 * MS, 502, b""))
+    assert broken(taken=[late]) == ["ANSWERS: answered too late"]
+    assert broken(taken=[late], pauses=[(0, 2 * SECOND, 2 * SECOND + 400 * MS)]) == []
+    assert broken(taken=[late], pauses=[(0, 2 * SECOND, 2 * SECOND + 399 * MS)]) != []
+    assert broken(taken=[late], pauses=[(1, 2 * SECOND, 2 * SECOND + 400 * MS)]) != []  # another door
+    assert broken(taken=[late], pauses=[(0, 0, SECOND)]) != []  # over before it came
+
+
 def test_a_cold_boxs_budget() -> None:
     life = Life("s1", "a", 0, 10 * SECOND, 2.0, 0.25, 10 * SECOND)
     # 4 x 0.5 x 2 s = 4 s of work at the start, and one largest more
