--- a/irisdeal/sim/machine.py
+++ b/irisdeal/sim/machine.py
@@ -20,7 +20,7 @@
 from asyncio import events
 from collections import deque
 from collections.abc import Callable, Coroutine, Generator, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any, TypeVar
 
 from irisdeal.sim.world import World
@@ -49,9 +49,24 @@
 
 @dataclass(slots=True)
 class Core:
-    """One core. Machines on the same one wait for each other."""
+    """One core. Machines on the same one take turns, in the order in which they came to wait for it."""
 
     free_at: int = 0  # µs
+    waiting: deque[Machine] = field(default_factory=deque)
+
+    def wait(self, machine: Machine) -> None:
+        if machine not in self.waiting:
+            self.waiting.append(machine)
+            if len(self.waiting) == 1:
+                machine.world.at(self.free_at, "a core", self._next)
+
+    def _next(self) -> None:
+        """Free again: the first of those that wait has it."""
+        world = self.waiting[0].world
+        if self.free_at <= world.now:
+            self.waiting.popleft().turn()
+        if self.waiting:
+            world.at(max(self.free_at, world.now), "a core", self._next)
 
 
 class Machine(Loop):  # type: ignore[misc]
@@ -112,7 +127,7 @@
         at = self.world.now if when is None else when
         if self._wake is not None and at >= self._wake:
             return
-        at = max(at, self.core.free_at, self._paused_until)
+        at = max(at, self._paused_until)
         if self._wake is None or at < self._wake:
             self._wake = at
             self.world.at(at, self.name, self._turn, at)
@@ -121,8 +136,16 @@
         if self.dead or at != self._wake:
             return  # an earlier one has come
         self._wake = None
-        if (free := max(self.core.free_at, self._paused_until)) > self.world.now:
-            return self.poke(free)
+        if self.core.free_at > self.world.now or self.core.waiting:
+            return self.core.wait(self)
+        self.turn()
+
+    def turn(self) -> None:
+        """One turn of the loop; the core is free."""
+        if self.dead:
+            return
+        if self._paused_until > self.world.now:
+            return self.poke(self._paused_until)
         self._in_turn, self.spent = True, self.costs.turn
         self.turns += 1
         costs, now = self.costs, self.world.now
