What a request waited in the kernel or for a late loop is taken off its time

Replayed in virtual time (98 of 14,920), each late try laid beside when it was read: most came on new connections that had waited 350 to 480 ms in the accept queue, with less than that left of their time; the door counted their whole time from its read. The others were read a turn of the loop late (50 to 90 ms), and their refusal came another turn later. Three more had an attempt written behind their final answer: its connection was still coming up. Ruled out by the replay: the order of turns, timers and the module (its refusals came in time for the time that it was told).

--- a/irisdeal/door/backends.py
+++ b/irisdeal/door/backends.py
@@ -99,10 +99,12 @@
             connection.leave()
         self.on_end(self, result, answer)
 
+    def is_written(self) -> bool:
+        return self.connection is not None and self.connection.written
+
     def time_out(self) -> None:
         # A request that was never written cannot have run, however long the connection took.
-        unwritten = self.connection is None or not self.connection.written
-        self.finish(Result.NOT_CONNECTED if unwritten else Result.TIMED_OUT)
+        self.finish(Result.TIMED_OUT if self.is_written() else Result.NOT_CONNECTED)
 
 
 class Backend(asyncio.Protocol):
--- a/irisdeal/door/clients.py
+++ b/irisdeal/door/clients.py
@@ -131,6 +131,8 @@
 
     def can_serve(self) -> bool: ...
 
+    def lateness(self) -> int: ...
+
 
 class Router(Protocol):
     """What takes the place of the class header where a description gives the routes (`routed.py`)."""
@@ -156,6 +158,7 @@
         self.waiting: deque[ClientRequest] = deque()
         self.in_message = self.in_trailer = self.closing = self.full = self.broken = self.paused = False
         self.spoke = False  # has sent a whole request
+        self.queued = round(side.listener.backlog.waited(side.loop.time()) * 1e6)  # µs before it was accepted
         self.since = side.now()  # of the last change between idle and busy
         self.begun = self.since  # of the request that comes in
         self.full_since = 0.0  # of a client that does not read its answers; 0.0 while it does
@@ -311,6 +314,8 @@
             if not self.hop <= CONNECTION_OPTIONS:
                 self._drop_hop()
             self._read(request, self.parser)
+            if request.time_left <= 0:  # the module's word would come a turn of the loop later, and too late
+                return request.reply(503, b"no time left\n")
             self.side.open_traces.add(request.trace)
             self.side.door.take(request)
         except Malformed as fault:  # framed well: the connection stays good
@@ -382,7 +387,11 @@
             raise Malformed(400, "more units than the plan can pass")
         request.units, request.gateways, request.first = quota
         request.kind, request.plan, request.customer = kind, plan, int(account, 16)
-        request.trace, request.time_left = trace, max(1, int(min(wait, rule.deadline)) - MARGIN)
+        # What it waited in the kernel, and what its answer will wait for us, is gone from its time. (A first
+        # request may have been written right after the connect.)
+        lost = MARGIN + side.door.lateness() + self.queued
+        self.queued = 0
+        request.trace, request.time_left = trace, int(min(wait, rule.deadline)) - lost
         request.is_retry = named.get(b"x-second-try", b"") == b"1"
         request.is_write = method != b"GET"
         request.head = b"".join((method, b" ", self.url, b" HTTP/1.1\r\n", *self.lines))
--- a/irisdeal/door/loop.py
+++ b/irisdeal/door/loop.py
@@ -15,6 +15,7 @@
 from irisdeal.door.config import Address, Config
 from irisdeal.door.counter import Counter
 from irisdeal.door.host import Host
+from irisdeal.overload.lateness import Lateness
 
 if TYPE_CHECKING:
     from irisdeal.queueing.watch import QueueWatch
@@ -68,6 +69,7 @@
         self.events = Batch()
         self.scheduled = self.list_known = False
         self.drain_by = 0  # when all must be answered; 0 while in service
+        self.late = Lateness()
         self.watch: QueueWatch | None = None  # where a report is to be had
         self.on_refetch: Callable[[], None] = lambda: None
         self.on_over: Callable[[ClientRequest], None] = lambda _: None  # answered, and no attempt is out
@@ -183,9 +185,12 @@
         request.final = True
         if request.guard is not None:
             request.guard.cancel()
+        self.unanswered -= 1
+        for attempt in request.attempts:  # one whose connection is still coming up: nothing more is sent
+            if not (attempt.done or attempt.is_written()):
+                attempt.finish(Result.NOT_SENT)
         if not request.out:
             self._over(number)
-        self.unanswered -= 1
 
     def _over(self, number: int) -> None:
         if (request := self.requests.pop(number, None)) is not None:
@@ -281,7 +286,16 @@
         self.counter.count(action)
 
     def _wake(self, action: Wake) -> None:
-        self._after(action.delay, self.post, Woken(action.token))
+        self._after(action.delay, self._woken, action.token, self.clock.now() + action.delay)
+
+    def _woken(self, token: int, due: int) -> None:
+        now = self.clock.now()
+        self.late.note((now - due) / 1e6, now / 1e6)
+        self.post(Woken(token))
+
+    def lateness(self) -> int:
+        """µs by which what clients write is read late by now, beyond the usual."""
+        return round(self.late.beyond_usual(self.clock.now() / 1e6) * 1e6)
 
     def _close_idle(self, action: CloseIdle) -> None:
         self.pool.close_idle(action.server)
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -171,6 +171,32 @@
         assert not door.program.door.requests
 
 
+@socket_test
+async def test_an_attempt_whose_connection_still_comes_up_sends_nothing_behind_the_answer() -> None:
+    def twice(event: Event) -> list[Action]:
+        return [Send(event.request, b) for b in (b"s-1", b"s-2")] if isinstance(event, Arrival) else []
+
+    with socket.socket() as listener, ExitStack() as waiting:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(0)  # its connection hangs, as above
+        for _ in range(4):
+            caller = waiting.enter_context(socket.socket())
+            caller.setblocking(False)
+            caller.connect_ex(listener.getsockname())
+        script = Script(twice)
+        async with Peer() as one, running(script, known=whole_list(
+                member("s-1", one.port), member("s-2", listener.getsockname()[1]))) as door:
+            client, to_door = await door.client()
+            to_door.write(ask())
+            first, to_first = await one.connection()
+            await read_message(first)
+            to_first.write(answer(200, b"first"))
+            assert (await read_message(client))[2] == b"first"
+            ended = await script.wait_for(AttemptEnded, 2)
+            assert {(e.attempt, e.result) for e in ended} == {(0, Result.OK), (1, Result.NOT_SENT)}
+            assert not door.program.door.requests and len(door.program.pool.all) == 1
+
+
 @socket_test
 async def test_a_cancel_closes_the_attempts_connection() -> None:
     def cancel(event: Event) -> list[Action]:
--- a/tests/test_places.py
+++ b/tests/test_places.py
@@ -1,9 +1,11 @@
 """Who has a place, who makes room and who is refused, on a clock of the test's own."""
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from irisdeal.overload.backlog import LEAST, MOST, WAIT, Backlog
+from irisdeal.overload.lateness import HALF, USUAL, Lateness
 from irisdeal.overload.places import ENDED_FOR, IDLE_FOR, LOOK, SILENT_FOR, SILENT_IN_STORM, Places, Stage
 
 
@@ -99,10 +101,10 @@
 
 def test_the_kernels_queue_is_as_long_as_the_door_takes_from_it_in_its_wait() -> None:
     backlog, now = Backlog(), 0.0
-    for _ in range(200):  # 40 in each turn of 0.1 s, and more wait
-        backlog.took(40, True, now)
+    for _ in range(200):  # 200 in each turn of 0.1 s, and more wait
+        backlog.took(200, True, now)
         now += 0.1
-    assert 0.8 * 400 * WAIT <= backlog.length <= 1.2 * 400 * WAIT
+    assert 0.8 * 2_000 * WAIT <= backlog.length <= 1.2 * 2_000 * WAIT
     for _ in range(200):
         backlog.took(1, True, now)
         now += 0.1
@@ -115,6 +117,34 @@
     assert backlog.length == MOST
 
 
+def test_how_long_one_waited_in_the_queue_is_bounded_by_what_was_seen() -> None:
+    backlog = Backlog()
+    assert backlog.waited(50.0) == 0.0  # nothing is known of a wait: the queue has never been seen to last
+    backlog.took(3, False, 100.0)
+    assert backlog.waited(100.5) == 0.0  # it was empty when last looked at
+    backlog.took(64, True, 101.0)
+    assert backlog.waited(101.03) == pytest.approx(1.03)  # at most since it was last empty
+    for n in range(1, 30):
+        backlog.took(100, True, 101.0 + n / 10)
+    # 1,000 a second, and the queue has shrunk to a twentieth of that: nobody waits for longer.
+    assert backlog.waited(104.0) == pytest.approx((backlog.length + 1) / 1_000)
+    assert backlog.waited(104.0) < 1.5 * WAIT
+    backlog.took(5, False, 104.1)
+    assert backlog.waited(104.2) == 0.0
+
+
+def test_lateness_is_the_latest_of_late_and_fades() -> None:
+    late = Lateness()
+    late.note(0.003, 10.0)
+    assert late.beyond_usual(10.0) == 0.0
+    late.note(0.100, 10.0)
+    late.note(0.010, 10.1)
+    assert late.beyond_usual(10.1) == pytest.approx(0.1 * 0.5 ** (0.1 / HALF) - USUAL)
+    assert late.beyond_usual(10.0 + 10 * HALF) == 0.0
+    late.note(0.05, 20.0)
+    assert late.beyond_usual(20.0) == pytest.approx(0.05 - USUAL)
+
+
 def test_a_queue_that_empties_tells_nothing_of_the_door() -> None:
     backlog = Backlog()
     assert all(backlog.took(1, False, n / 10) is None for n in range(100))
