--- a/benchmarks/sim_fidelity.py
+++ b/benchmarks/sim_fidelity.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import logging
 import statistics
 import sys
 import time
@@ -34,6 +35,7 @@
 @click.option("--seeds", type=click.IntRange(1, 20), default=1, show_default=True)
 @click.option("--seconds", type=click.FloatRange(3, 60), default=None, help="In place of the scenario's.")
 def main(names: tuple[str, ...], seeds: int, seconds: float | None) -> None:
+    logging.getLogger("irisdeal").setLevel(logging.CRITICAL)  # the virtual doors' log
     grid = Table("day", "served", "worst 10 s", "keeper calls", "attempts", "CPU µs", "p50 ms",
                  "p99 ms", "kept", "s a s", title="sockets / virtual")
     gaps: dict[str, list[float]] = {"served": [], "worst": [], "calls": [], "attempts": []}
