Operators' listener with /ready and /metrics, figures counted where things happen

A door without `operator` opens nothing and imports none of it. Counting is a few plain integers at the one place where an answer is worded. A bad address ends the start with one line and code 2, one in use with 1, naming which of the two it is.

Tests: every end of a request counted once, silent callers give way, bad calls get one line.

--- a/irisdeal/door/backends.py
+++ b/irisdeal/door/backends.py
@@ -136,6 +136,7 @@
     def _write(self) -> None:
         assert self.transport is not None and self.attempt is not None
         self.written = True  # what the kernel takes may run: from here a break is a reset
+        self.pool.written += 1
         self.transport.write(self.attempt.payload)
         self.attempt.payload = b""
 
@@ -299,6 +300,7 @@
         # By backend, not by address: a new backend may stand where another one stood.
         self.idle: dict[bytes, list[Backend]] = {}
         self.all: set[Backend] = set()
+        self.written = 0  # attempts whose last byte has left
         loop.call_later(1.0, self._sweep)
 
     def send(self, attempt: Attempt) -> None:
--- a/irisdeal/door/clients.py
+++ b/irisdeal/door/clients.py
@@ -88,6 +88,7 @@
         "answer",
         "bodiless",
         "body",
+        "counted",
         "customer",
         "first",
         "gateways",
@@ -111,6 +112,7 @@
         self.number = -1  # given by the door
         self.head = self.body = self.trace = b""
         self.customer = self.plan = self.kind = self.time_left = self.first = 0
+        self.counted = -1  # the class under which it is counted, once that is known
         self.gateways, self.units = 1, 1.0
         self.bodiless = False  # an answer to HEAD has no body
         self.routed: object = None  # where a description gives the routes: what the router knows of it
@@ -193,6 +195,7 @@
         self.parser = None  # parser and connection hold each other
         for request in waiting:
             if not request.answer:
+                self.side.count_gone(request)
                 self.side.open_traces.discard(request.trace)
                 self.side.door.gone(request)
 
@@ -301,6 +304,8 @@
         request.bodiless = self.parser.get_method() == b"HEAD"  # a body would begin the next answer
         request.then_close = self.closing = not self.parser.should_keep_alive()
         self.waiting.append(request)
+        if self.side.router is None:
+            self.side.count_in(request, self.side.classes.get(self.named.get(b"x-qos", b""), -1))
         if len(self.waiting) > MOST_PIPELINED:  # all of one read come here, however many
             return request.reply(503, b"too many requests at once\n")
         if self.url.partition(b"?")[0] == b"/_health":
@@ -314,6 +319,8 @@
             if not self.hop <= CONNECTION_OPTIONS:
                 self._drop_hop()
             self._read(request, self.parser)
+            if request.counted < 0:  # where a description gives the routes, it gives the class
+                self.side.count_in(request, request.kind)
             if request.time_left <= 0:  # the module's word would come a turn of the loop later, and too late
                 return request.reply(503, b"no time left\n")
             self.side.open_traces.add(request.trace)
@@ -404,6 +411,7 @@
             return  # one final answer, and none to a client that has left
         if (self.side.draining or self.side.crowded()) and request is self.waiting[-1]:
             request.then_close = self.closing = True  # behind others it would take their answers along
+        self.side.count_out(request, status)
         self.side.open_traces.discard(request.trace)
         length = b"" if request.bodiless else b"Content-Length: %d\r\n" % len(body)
         request.answer = b"".join((
@@ -522,8 +530,34 @@
         self.open_traces: set[bytes] = set()
         self.draining = False
         self.router: Router | None = None
+        # By class: taken = completed + rejected + failed + gone + pending, after every event.
+        self.taken, self.completed, self.rejected, self.failed, self.gone = (
+            [0] * len(config.classes) for _ in range(5))
+        self.pending = 0
         self.listener = Listener(self.admit, loop, self.room, self.host)
 
+    def count_in(self, request: ClientRequest, kind: int) -> None:
+        """A whole request has come, of this class; one of a class that is not known is not counted."""
+        if 0 <= kind < len(self.taken):
+            request.counted = kind
+            self.taken[kind] += 1
+            self.pending += 1
+
+    def count_out(self, request: ClientRequest, status: int) -> None:
+        """It has its final answer."""
+        if request.counted >= 0:
+            refused = self.rejected if status in (429, 503) else self.failed
+            (self.completed if status == 200 else refused)[request.counted] += 1
+            self.pending -= 1
+            request.counted = -1
+
+    def count_gone(self, request: ClientRequest) -> None:
+        """Its client left before the answer."""
+        if request.counted >= 0:
+            self.gone[request.counted] += 1
+            self.pending -= 1
+            request.counted = -1
+
     @property
     def connections(self) -> Collection[Client]:
         return self.places.stages
--- a/irisdeal/door/config.py
+++ b/irisdeal/door/config.py
@@ -46,6 +46,7 @@
     connect_timeout: int
     keepalive: int
     routes: Routes | None = None
+    operator: Address | None = None  # where operators call
     report: str | None = None  # where the door's own report is to be had: a socket of the file system
 
 
@@ -74,7 +75,8 @@
         raise ConfigError(f"EDGE_CONFIG: {path}: no JSON: {error}") from None
     if not isinstance(told, dict):
         raise ConfigError(f"EDGE_CONFIG: {path}: wanted an object")
-    for key, variable in (("name", "EDGE_NAME"), ("listen", "EDGE_LISTEN"), ("discovery", "EDGE_DISCOVERY")):
+    for key, variable in (("name", "EDGE_NAME"), ("listen", "EDGE_LISTEN"), ("discovery", "EDGE_DISCOVERY"),
+                          ("operator", "EDGE_OPERATOR")):
         if environ.get(variable) and not (again and told.get(key) and key == "discovery"):
             told[key] = environ[variable]
     try:
@@ -97,13 +99,16 @@
     if settings.counter and not counter:
         raise ConfigError("counter is missing, though the settings tell of one")
     limits = told.get("limits") or {}
+    listen, operator = address(told.get("listen"), "listen"), told.get("operator")
+    if operator and address(operator, "operator") == listen:
+        raise ConfigError(f"operator is {operator!r}: wanted another address than listen")
     try:
         seed = int(str(told.get("seed") or "0"), 16)
     except ValueError:
         raise ConfigError(f"seed is {told.get('seed')!r}: wanted hex digits") from None
     return Config(
         name=str(told.get("name") or f"gateway {settings.rank}"),
-        listen=address(told.get("listen"), "listen"),
+        listen=listen,
         discovery=address(told.get("discovery"), "discovery"),
         counter=address(counter, "counter") if counter else None,
         seed=seed,
@@ -117,6 +122,7 @@
         connect_timeout=reader.whole("permissions.connect_timeout_us", "250000"),
         keepalive=reader.whole("permissions.keepalive_us", "30000000"),
         routes=_routes(told.get("routes")),
+        operator=address(operator, "operator") if operator else None,
         report=_report(told.get("report")),
     )
 
--- a/irisdeal/door/limits.py
+++ b/irisdeal/door/limits.py
@@ -7,6 +7,10 @@
 # Loop, signals, listener and streams; discovery and counter, each twice while they move; and connections that
 # are being closed, which hold their descriptor until the end of the turn.
 OWN = 40
+# Of a door with operators: callers at once. An answer is one turn away, so only silent ones stay; they hold
+# their place for 4 s, and a new one takes the place of the oldest.
+CALLERS = 16
+OPERATORS_OWN = CALLERS + 4  # with the listener, and callers that are being closed
 
 
 # Of what clients and backends share: connections beyond the clients' places, which are heard and refused. One
@@ -23,11 +27,11 @@
     backends: int
 
 
-def share(sockets: int) -> Limits:
+def share(sockets: int, has_operator: bool = False) -> Limits:
     """Even halves: a third of all is asked for by clients' requests, and each of those needs a backend.
 
     The reserve is of the backends' half: connections there are opened anew at need.
     """
-    rest = max(16, sockets - OWN)
+    rest = max(16, sockets - OWN - (OPERATORS_OWN if has_operator else 0))
     reserve = max(LEAST_RESERVE, int(rest * RESERVE_SHARE))
     return Limits(clients=rest // 2, reserve=reserve, backends=rest - rest // 2 - reserve)
--- a/irisdeal/door/program.py
+++ b/irisdeal/door/program.py
@@ -9,6 +9,8 @@
 import signal
 import sys
 import time
+from collections.abc import Iterator
+from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
 import uvloop
@@ -17,13 +19,14 @@
 from cresspulley.interface import Decider
 from irisdeal.door.backends import Pool
 from irisdeal.door.clients import ClientSide
-from irisdeal.door.config import Config, ConfigError, load
+from irisdeal.door.config import Address, Config, ConfigError, load
 from irisdeal.door.discovery import Discovery
 from irisdeal.door.host import Host
 from irisdeal.door.loop import Door
-from irisdeal.door.limits import share
+from irisdeal.door.limits import CALLERS, share
 
 if TYPE_CHECKING:
+    from irisdeal.door.operator import Operator
     from irisdeal.door.report import Report
     from irisdeal.door.routed import Router
 
@@ -52,13 +55,26 @@
         return self.lines <= LINES_PER_S
 
 
+class CannotListen(OSError):
+    """An address that cannot be had; the text names it."""
+
+
+@contextmanager
+def listening(key: str, place: Address) -> Iterator[None]:
+    try:
+        yield
+    except OSError as error:
+        raise CannotListen(f"cannot listen on {key} {place[0]}:{place[1]}: {error}") from None
+
+
 class Program:
     """One front door, from its start to its end."""
 
     def __init__(
         self, config: Config, loop: asyncio.AbstractEventLoop, decider: Decider, host: Host | None = None,
     ) -> None:
-        limits = share(config.sockets)
+        self.config = config
+        limits = share(config.sockets, config.operator is not None)
         self.loop, self.host = loop, host or Host()
         self.pool = Pool(config, limits.backends, loop, self.host)
         self.door = Door(config, decider, self.pool, loop, self.host)
@@ -77,13 +93,22 @@
             from irisdeal.door.report import Report
 
             self.report = Report(config.report, self.door, loop)
+        self.operator: Operator | None = None
+        if config.operator is not None:
+            from irisdeal.door.operator import Operator
+
+            self.operator = Operator(config.operator, self, CALLERS, loop)
         self.over = asyncio.Event()
         self.stopping = False
 
     def start(self) -> None:
         """Listen, and watch the list."""
         self.discovery.remember()
-        self.clients.listen()
+        if self.operator is not None:
+            with listening("operator", self.operator.address):
+                self.operator.start()
+        with listening("listen", self.config.listen):
+            self.clients.listen()
         self.discovery.start()
 
     async def run(self) -> None:
@@ -102,6 +127,8 @@
             self.router.stop()
         if self.report is not None:
             self.report.stop()
+        if self.operator is not None:
+            self.operator.stop()
         # Answers just written leave with their connections, which close once written.
         until = self.loop.time() + 0.15
         while self.clients.connections and self.loop.time() < until:
@@ -115,6 +142,14 @@
             except OSError as error:
                 raise ConfigError(f"report: {self.report.path}: {error.strerror or error}") from None
 
+    def is_ready(self) -> tuple[bool, str]:
+        """Whether this process can serve, and why not."""
+        if self.stopping:
+            return False, "shutting down"
+        if self.clients.listener.socket is None:
+            return False, "not listening yet"
+        return (True, "") if self.door.can_serve() else (False, "no list of backends yet")
+
     def reload(self) -> None:
         """Read the configuration again: discovery and the counter may have moved."""
         try:
@@ -157,7 +192,7 @@
         print("irisdeal:", " ".join(str(error).split()), file=sys.stderr)
         return 2
     except OSError as error:
-        print(f"irisdeal: cannot listen on {config.listen[0]}:{config.listen[1]}: {error}", file=sys.stderr)
+        print(f"irisdeal: {error}", file=sys.stderr)
         return 1
     return 0
 
--- /dev/null
+++ b/irisdeal/operator/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' figures, calls and bans: what is asked and told; no input or output."""
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -53,7 +53,10 @@
     base.update(changes)
     made = parse(base)
     # Port 0: the kernel picks one, and the test asks which.
-    return Config(**{**{f: getattr(made, f) for f in Config.__slots__}, "listen": ("127.0.0.1", 0)})
+    changed: dict[str, Any] = {"listen": ("127.0.0.1", 0)}
+    if made.operator is not None:
+        changed["operator"] = ("127.0.0.1", 0)
+    return Config(**{**{f: getattr(made, f) for f in Config.__slots__}, **changed})
 
 
 def member(name: str, port: int, **changes: Any) -> dict[str, Any]:
@@ -150,6 +153,8 @@
     finally:
         program.discovery.stop()
         program.clients.stop_listening()
+        if program.operator is not None:
+            program.operator.stop()
         for writer in run.writers:
             writer.transport.abort()
 
--- /dev/null
+++ b/tests/test_operator.py
@@ -0,0 +1,176 @@
+"""Operators' calls and figures: the pure parts, and a running door's listener on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import re
+
+import pytest
+
+from irisdeal.door.config import ConfigError, parse
+from irisdeal.door.limits import CALLERS, OWN, share
+from irisdeal.operator.calls import Call, TurnedDown, What, read
+from irisdeal.operator.figures import Figure, Kind, Registry
+from tests.peers import (
+    Peer, Running, Script, answer, ask, member, read_message, running, send_all, settings, socket_test,
+    whole_list)
+
+
+def test_each_figure_has_a_type_and_labels_are_escaped() -> None:
+    registry = Registry()
+    registry.add(Figure("pending", Kind.GAUGE, "a\nb", lambda: 14))
+    registry.add(Figure("done_total", Kind.COUNTER, "c", lambda: [8, 0], "lane", ('a"b\\', "d\n")))
+    assert registry.text().decode() == (
+        "# HELP edge_pending a\\nb\n# TYPE edge_pending gauge\nedge_pending 14\n"
+        "# HELP edge_done_total c\n# TYPE edge_done_total counter\n"
+        'edge_done_total{lane="a\\"b\\\\"} 8\nedge_done_total{lane="d\\n"} 0\n')
+
+
+def test_a_figure_is_there_once_and_has_a_number_for_each_label() -> None:
+    registry = Registry()
+    registry.add(Figure("a", Kind.GAUGE, "", lambda: [1], "lane", ("x", "y")))
+    with pytest.raises(ValueError, match="a is there already"):
+        registry.add(Figure("a", Kind.GAUGE, "", lambda: 1))
+    with pytest.raises(ValueError, match="wanted 2 numbers"):
+        registry.text()
+
+
+@pytest.mark.parametrize(("method", "url", "status", "allow"), [
+    (b"GET", b"/nothing", 404, ""),
+    (b"POST", b"/ready", 405, "GET"),
+    (b"GET", b"/backends/disable?target=a", 405, "POST"),
+    (b"POST", b"/backends/disable", 400, ""),
+    (b"POST", b"/backends/enable?target=", 400, ""),
+    (b"POST", b"/backends/disable?target=a&target=b", 400, ""),
+    (b"POST", b"/backends/disable?target=%ff", 400, ""),
+    (b"POST", b"/backends/disable?target=" + b"a" * 300, 400, ""),
+])
+def test_a_call_that_cannot_be_carried_out_is_turned_down(
+    method: bytes, url: bytes, status: int, allow: str,
+) -> None:
+    with pytest.raises(TurnedDown) as caught:
+        read(method, url)
+    assert (caught.value.status, caught.value.allow) == (status, allow)
+
+
+def test_calls_are_read_with_their_target() -> None:
+    assert read(b"GET", b"/ready?x=1") == Call(What.READY)
+    assert read(b"POST", b"/backends/disable?target=s%2D1") == Call(What.DISABLE, b"s-1")
+    assert read(b"POST", b"/backends/enable?note=x&target=s-1") == Call(What.ENABLE, b"s-1")
+
+
+def test_operators_descriptors_come_out_of_the_shared_limit() -> None:
+    for sockets in (256, 384, 1024):
+        with_, without = share(sockets, True), share(sockets)
+        assert with_.clients + with_.reserve + with_.backends + CALLERS + OWN < sockets
+        assert with_.clients < without.clients
+
+
+@pytest.mark.parametrize("told", ["9100", "127.0.0.1:0", "127.0.0.1:99999", 7])
+def test_a_bad_operator_address_is_one_clear_error(told: object) -> None:
+    base = {"listen": "127.0.0.1:1", "discovery": "127.0.0.1:1", "settings": settings()}
+    with pytest.raises(ConfigError, match=r"operator is .*: wanted host:port"):
+        parse({**base, "operator": told})
+    with pytest.raises(ConfigError, match="another address than listen"):
+        parse({**base, "operator": "127.0.0.1:1"})
+    assert parse(base).operator is None
+
+
+async def operate(door: Running, call: str, method: str = "GET") -> tuple[str, dict[str, str], bytes]:
+    assert door.program.operator is not None
+    reader, writer = await asyncio.open_connection("127.0.0.1", door.program.operator.listener.port())
+    writer.write(f"{method} {call} HTTP/1.1\r\nHost: ops\r\n\r\n".encode())
+    message = await read_message(reader)
+    assert await reader.read() == b""  # one call to a connection
+    writer.close()
+    return message
+
+
+async def figures(door: Running) -> dict[str, int]:
+    line, headers, text = await operate(door, "/metrics")
+    assert (line, headers["content-type"]) == ("HTTP/1.1 200 OK", "text/plain; version=0.0.4; charset=utf-8")
+    return {name: int(value) for name, value in re.findall(r"^(edge_\S+) (\d+)$", text.decode(), re.M)}
+
+
+OPERATOR = "127.0.0.1:2"  # port 0 takes its place, as with `listen`
+
+
+@socket_test
+async def test_ready_is_yes_once_a_list_is_known_and_no_while_the_door_ends() -> None:
+    async with running(operator=OPERATOR) as door:
+        assert (await operate(door, "/ready"))[0].startswith("HTTP/1.1 503")
+    async with running(operator=OPERATOR, known=whole_list(member("s-1", 9))) as door:
+        assert (await operate(door, "/ready"))[0] == "HTTP/1.1 200 OK"
+        door.program.stop()
+        assert (await operate(door, "/ready"))[2] == b"not ready: shutting down\n"
+
+
+@socket_test
+async def test_unreadable_calls_get_one_line_and_do_not_disturb() -> None:
+    async with running(operator=OPERATOR, known=whole_list(member("s-1", 9))) as door:
+        assert (await operate(door, "/nothing"))[0].startswith("HTTP/1.1 404")
+        line, headers, _ = await operate(door, "/ready", "PUT")
+        assert (line, headers["allow"]) == ("HTTP/1.1 405 Method Not Allowed", "GET")
+        assert (await operate(door, "/ready?" + "x" * 9000))[0].startswith("HTTP/1.1 431")
+        assert (await operate(door, "/ready\r\nnoise"))[0].startswith("HTTP/1.1 400")
+
+
+@socket_test
+async def test_the_caller_that_is_silent_for_longest_gives_way() -> None:
+    async with running(operator=OPERATOR, known=whole_list(member("s-1", 9))) as door:
+        assert door.program.operator is not None
+        port = door.program.operator.listener.port()
+        silent = []
+        for _ in range(2 * CALLERS):
+            silent.append(await asyncio.open_connection("127.0.0.1", port))
+            silent[-1][1].write(b"GET /rea")
+        assert (await operate(door, "/ready"))[0] == "HTTP/1.1 200 OK"
+        with contextlib.suppress(ConnectionResetError):
+            assert await silent[0][0].read() == b""
+        assert len(door.program.operator.callers) <= CALLERS
+        for _, writer in silent:
+            writer.transport.abort()
+
+
+@socket_test
+async def test_figures_count_every_end_of_a_request_once() -> None:
+    async with Peer() as backend:
+        decider = Script(lambda event: send_all(event))
+        known = whole_list(member("s-1", backend.port))
+        async with running(decider, operator=OPERATOR, known=known) as door:
+            start = await figures(door)
+            assert start['edge_completed_total{lane="look"}'] == start['edge_failed_total{lane="file"}'] == 0
+
+            async def one(kind: str, trace: str, reply: bytes | None) -> None:
+                reader, writer = await door.client()
+                writer.write(ask(kind, trace))
+                from_door, to_door = await backend.connection()
+                await read_message(from_door)
+                assert (await figures(door))["edge_pending"] == 1
+                if reply is None:
+                    writer.transport.abort()
+                    while door.program.clients.pending:
+                        await asyncio.sleep(0)
+                else:
+                    to_door.write(reply)
+                    await read_message(reader)
+                to_door.transport.abort()
+
+            await one("look", "a1", answer())
+            await one("look", "a2", answer(500))
+            await one("file", "a3", answer())
+            await one("look", "a4", None)
+            await door.call(ask("look", "a5", X_Expires_In="1m"))  # no time left: refused before the module
+            await door.call(ask("look", "a6", Account="x"))  # malformed
+            await door.call(ask("none", "a7"))  # of no class: not counted
+            told = await figures(door)
+            assert told['edge_completed_total{lane="look"}'] == 1
+            assert told['edge_completed_total{lane="file"}'] == 1
+            assert told['edge_failed_total{lane="look"}'] == 2
+            assert told['edge_rejected_total{lane="look"}'] == 1
+            assert told['edge_gone_total{lane="look"}'] == 1
+            assert (told["edge_upstream_requests_total"], told["edge_pending"]) == (4, 0)
+            side = door.program.clients
+            for n, taken in enumerate(side.taken):
+                assert taken == side.completed[n] + side.rejected[n] + side.failed[n] + side.gone[n]
