Bans by hand reach the module as events; a backend put back is cold and used first

A ban is kept by id beside the list, told to the module before the yes is written; put back, the backend counts as just started unless the list knows a later start, and its first use is chosen.

--- a/cresspulley/control.py
+++ b/cresspulley/control.py
@@ -9,17 +9,19 @@
 import math
 import random
 from bisect import bisect_right
-from collections import defaultdict, deque
+from collections import deque
 from collections.abc import Callable
 from dataclasses import replace
 from typing import Any
 
 from cresspulley.interface import (
-    Action, Arrival, AttemptEnded, Cancel, ClassesChanged, Count, CountAnswer, Event, Fail, FollowList,
-    Group, ListKind, Plan, Refuse, Repeat, RequestEnded, Restricted, Result, Send, ServerEntry, ServerList,
-    ServerState, Settings, StreamStarted, Wake)
+    Action, Arrival, AttemptEnded, Barred, Cancel, ClassesChanged, Count, CountAnswer, Event, Fail,
+    FollowList, Group, ListKind, Plan, Refuse, Repeat, RequestEnded, Restricted, Result, Send, ServerList,
+    ServerState, Settings, Shared, StreamStarted, Wake)
+from cresspulley.records import Server, Try
 from irisdeal.queueing.fair import Entry, FairQueue, Flow
-from irisdeal.quota.account import Account, Call, Purpose
+from irisdeal.quota.account import Account
+from irisdeal.quota.call import Call, Purpose
 
 FADING_SHARE, FADING_TIMEOUTS = 0.4, 50  # fading interval: of the time a burst lasts; else counter time-outs
 PERIOD = 8  # fading intervals that one name holds; a new name starts from what was last known
@@ -42,6 +44,7 @@
 PATIENCE = 4.0  # an attempt out for so many usual times counts against its server
 GOOD_SHARE = 0.35  # an answer in this share of its aim widens the window of attempts, a later one narrows it
 WINDOW, WIDEST = 2.0, 4.0  # attempts of all for each server while half the answers are good; most times that
+FIRST_USE = 3_000_000  # doors of many draw when, in this time, each first uses one that is back by hand
 MANY_LEAST = 1.0  # usual windows that a gateway of many keeps at least
 LOOK = 16  # servers compared for a request, drawn at random: many gateways with one favourite would drown it
 FADE = 0.1  # share of a server's bad name forgotten each second unused, so that it is tried again
@@ -61,25 +64,6 @@
 NEVER_RAN = (Result.TURNED_AWAY, Result.NOT_CONNECTED, Result.NOT_SENT)
 
 
-class Server:
-    """One server as this gateway knows it."""
-
-    def __init__(self, entry: ServerEntry) -> None:
-        self.entry, self.out = entry, 0  # its line of the list; attempts of this gateway out there
-        self.others, self.slow = 0.0, 1.0  # what the others have there, as told; its times over those of all
-        self.bad: defaultdict[Plan | None, float] = defaultdict(float)  # failures, 0 to 1; by plan: full
-        self.last_good = self.told_at = self.last_sent = 0
-        self.turn, self.turned = 0, -1  # ours while it is cold: the one that is open; the last one taken
-        self.sent: deque[tuple[int, float]] = deque(maxlen=1000)  # work sent while cold
-
-
-class Try:
-    """One attempt; it may have run until its outcome proves that it never did."""
-
-    def __init__(self, server: Server, at: int) -> None:
-        self.server, self.at, self.out, self.may_have_run = server, at, True, True
-
-
 class Request:
     """A request taken, kept until it is answered and no attempt of it is out."""
 
@@ -99,7 +83,7 @@
 class Customer:
     """A customer's share here: bound and queue, what is known of its total, and its part of the ceiling."""
 
-    def __init__(self, event: Arrival, settings: Settings, now: int, born: int) -> None:
+    def __init__(self, event: Arrival, settings: Settings, now: int, born: int, share: float) -> None:
         self.key, self.ways = event.customer * len(settings.plans) + event.plan, max(1, event.gateways)
         self.plan = plan = settings.plans[event.plan]
         self.held: list[Flow[Request]] = []  # its queues that its bound or ceiling keeps from being served
@@ -119,7 +103,7 @@
         self.account = Account(self.key, plan.rate, plan.burst, self.ways, now) if (
             settings.counter and plan.rate and self.ways > FEW_WAYS) else None
         # An even part; a start may be a restart: half of our slack, and what has flowed in since, is ours.
-        part = ((settings.rank - event.first_gateway) % settings.gateways < self.ways) / self.ways
+        part = share * ((settings.rank - event.first_gateway) % settings.gateways < self.ways) / self.ways
         self.ceiling_rate, self.ceiling_most = plan.ceiling_rate * part / SECOND, plan.ceiling_depth * part
         self.store = min(self.ceiling_most, plan.ceiling_slack * part / 2 + self.ceiling_rate * (now - born))
 
@@ -129,6 +113,10 @@
         self.left = min(self.plan.burst, self.left + self.plan.rate * flown / SECOND)
         return self.store
 
+    def resize(self, times: float, now: int) -> None:  # its part of the ceiling is so many times as much
+        self.store = self.refill(now) * min(1.0, times)  # what is given away is gone, what comes flows in
+        self.ceiling_rate, self.ceiling_most = self.ceiling_rate * times, self.ceiling_most * times
+
     def take(self, units: float, weight: float) -> None:
         """A first attempt is sent on; the others send as many times ours as they ask."""
         self.store -= units if self.plan.ceiling_rate else 0.0
@@ -173,6 +161,8 @@
         self.settings, self.random = settings, random.Random(seed)
         self.servers: dict[bytes, Server] = {}
         self.ready: list[Server] = []
+        self.barred: dict[bytes, int] = {}  # left out by hand, and since when
+        self.share, self.warms = 1.0, True  # beside another process of this door: less, and one of them
         self.numbers, self.wake_at, self.woke, self.now, self.born = 0, 0, -1, -1, -1
         self.out, self.last_sent = 0, -SECOND
         self.window, self.usual_window = WIDEST, 1.0  # most attempts of ours at once: queues stay short
@@ -194,7 +184,8 @@
         self.handlers: dict[type, Callable[[Any], None]] = {
             ServerList: self._server_list, Arrival: self._arrival, AttemptEnded: self._attempt_ended,
             StreamStarted: self._end, RequestEnded: self._end, CountAnswer: self._counted,
-            ClassesChanged: self._classes_changed, Restricted: self._restricted}
+            ClassesChanged: self._classes_changed, Restricted: self._restricted, Barred: self._barred,
+            Shared: self._shared}
 
     def handle(self, now: int, events: list[Event]) -> list[Action]:
         """Take what happened by `now`; return what to do, in order."""
@@ -247,14 +238,35 @@
             server = self.servers.get(entry.server)
             if entry.state is ServerState.GONE:
                 self.servers.pop(entry.server, None)
-            elif server is None or server.entry.started != entry.started:  # a restart begins a fresh record
+            elif server is None or server.told != entry.started:  # a restart begins a fresh record
                 self.servers[entry.server] = Server(entry)
             else:
-                server.entry = entry
-        self.ready = [s for s in self.servers.values() if s.entry.state is ServerState.READY]
+                server.entry = replace(entry, started=server.entry.started)
+        self._sort()
+
+    def _sort(self) -> None:
+        self.ready = [s for key, s in self.servers.items()
+                      if s.entry.state is ServerState.READY and key not in self.barred]
         usual = WINDOW * max(1, len(self.ready)) / self.settings.gateways
         self.window, self.usual_window = self.window * usual / self.usual_window, usual
 
+    def _barred(self, event: Barred) -> None:
+        if event.barred:
+            self.barred.setdefault(event.server, self.now)
+        elif (since := self.barred.pop(event.server, None)) is not None and (
+                server := self.servers.get(event.server)):
+            # It was restarted meanwhile, perhaps just now: cold from now on, until the list knows better.
+            entry, told = server.entry, server.told
+            server = Server(replace(entry, started=self.now) if entry.started <= since else entry)
+            server.told, self.servers[event.server] = told, server
+            server.due = self.now + int(self.many * FIRST_USE * self.random.random())
+        self._sort()
+
+    def _shared(self, event: Shared) -> None:
+        times, self.share, self.warms = event.part / self.share, event.part, event.warms
+        for customer in self.customers.values():
+            customer.resize(times, self.now)
+
     def _warmth(self, server: Server) -> float:  # the least share of its capacity that it has by now
         part = max(0, self.now - server.entry.started) / max(1, self.settings.warm_up)
         return min(1.0, self.settings.start_capacity + (1.0 - self.settings.start_capacity) * part)
@@ -271,6 +283,8 @@
         turn = int(rate / 1.5 * (s.start_capacity + warmth) / 2 * (self.now - server.entry.started) / work)
         behind = (turn - s.rank - int.from_bytes(server.entry.server)) % s.gateways
         ago = behind * work * 1.5 / (rate * warmth)
+        if 0 <= server.due <= self.now:  # its first use, for which no turn may come for long
+            return True
         server.turn = turn - behind
         taken = server.turn <= server.turned if self.many else server.last_sent >= self.now - ago
         return ago <= s.fall_window / 2 and not taken
@@ -296,12 +310,12 @@
             zonal = rule.group is Group.ZONE
             ready = [s for s in ready if (s.entry.zone == tied.zone if zonal else s.entry.cell == tied.cell)]
         # A turn at a cold server is rare and short: all of them are looked at.
-        cold = [s for s in ready if s.entry.started and self._warmth(s) < 1.0] if self.many else []
+        cold = [s for s in ready if s.due >= 0 or (self.many and s.entry.started and self._warmth(s) < 1.0)]
         ready = self.random.sample(ready, min(LOOK, len(ready))) + cold
         tried, best, least = [t.server for t in request.tries], None, math.inf
         for server in (s for s in ready if s not in tried):
             warmth = self._warmth(server)
-            if warmth < 1.0 and not self._fits_cold(server, warmth):
+            if warmth < 1.0 and not (self.warms and self._fits_cold(server, warmth)):
                 continue
             others = server.others * max(0.0, 1.0 - (self.now - server.told_at) / SECOND)
             kept = (1.0 - FADE) ** ((self.now - server.last_sent) / SECOND)
@@ -310,6 +324,7 @@
             # Turns are rare, and who has one of many gateways finds the server nearly idle.
             soon = self.service or usual
             cost *= warmth / 2 if warmth < 1.0 and soon < warmth * rule.aim / 2 else 1.0
+            cost *= 0.0 if 0 <= server.due <= self.now else 1.0  # chosen, not left to chance
             if self.settings.crossing_price and server.entry.zone != self.settings.zone:
                 cost *= CROSSING_LEAN
             cost *= 1.0 + 0.05 * self.random.random()  # so that gateways do not herd
@@ -321,7 +336,7 @@
         self.settings.check(event)
         key = (event.customer, event.plan)  # a stranger's plan must not become this customer's
         if not (customer := self.customers.pop(key, None)):
-            customer = Customer(event, self.settings, self.now, self.born)
+            customer = Customer(event, self.settings, self.now, self.born, self.share)
             customer.credit = self.random.random()
         self.customers[key] = customer  # in the order of their last requests
         request = self.requests[event.request] = Request(event, customer, self.now, self.settings.tick)
@@ -329,7 +344,7 @@
         hold = max(0, int(min((rule.aim - usual) * HOLD_SHARE, event.time_left * HOLD_MOST)))
         request.waits_till = min(request.last, self.now + hold)
         self._plan(min(request.last, self.now + int(hold * QUEUE_SHARE / HOLD_SHARE)), self._time_up, request)
-        if event.time_left < self.quickest[request.kind]:  # no box answers in that time
+        if event.time_left < self.quickest[request.kind] or (self.barred and not self.ready):  # none can; may
             return self._answer(request)
         self.value += LEARN / 10 * (self._worth(request) / usual - self.value)
         weight, room = self._weigh(request)
@@ -414,8 +429,7 @@
         customer = request.customer
         if customer.account and customer.plan.open_limit and customer.account.heard_at >= 0:
             slots = self.usual[request.kind] / SECOND / request.units  # by Little's law, and as a mean
-            customer.split(
-                slots * customer.account.here(self.now), slots * customer.account.total(self.now))
+            customer.split(slots * customer.account.here(self.now), slots * customer.account.total(self.now))
             self._free(customer)  # its bound may have grown
         request.entry.cost = self.usual[request.kind]
         customer.waiting += 1
@@ -472,7 +486,7 @@
     def _send(self, request: Request, server: Server) -> None:
         request.customer.out += 1
         request.tries.append(attempt := Try(server, self.now))
-        server.out, server.last_sent = server.out + 1, self.now
+        server.out, server.last_sent, server.due = server.out + 1, self.now, -1
         self.out, self.last_sent = self.out + 1, self.now
         usual = self.usual[request.kind]
         if self._warmth(server) < 1.0:
--- a/cresspulley/interface.py
+++ b/cresspulley/interface.py
@@ -270,9 +270,32 @@
     request_class: int
 
 
+@dataclass(frozen=True, slots=True)
+class Barred:
+    """A server is left out by hand from now on, whatever the list says, or is no longer (`barred` False)."""
+
+    server: bytes
+    barred: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Shared:
+    """Another process of this front door is there, or has gone.
+
+    `part` of the door's share of each ceiling is this process's from now on, over 0 and at most 1; it uses
+    cold servers only if `warms`, since the other may not do so as well.
+    """
+
+    part: float
+    warms: bool
+
+    def __post_init__(self) -> None:
+        _require(0.0 < self.part <= 1.0, "part", self.part, "a share over 0")
+
+
 Event = (
     ServerList | Arrival | AttemptEnded | StreamStarted | RequestEnded | CountAnswer | ProbeEnded
-    | PeerMessage | Woken | ClassesChanged | Restricted
+    | PeerMessage | Woken | ClassesChanged | Restricted | Barred | Shared
 )
 
 
--- /dev/null
+++ b/cresspulley/records.py
@@ -0,0 +1,27 @@
+"""What one gateway keeps of a server and of an attempt: records, with no decision in them."""
+
+from __future__ import annotations
+
+from collections import defaultdict, deque
+
+from cresspulley.interface import Plan, ServerEntry
+
+
+class Server:
+    """One server as this gateway knows it."""
+
+    def __init__(self, entry: ServerEntry) -> None:
+        self.entry, self.out = entry, 0  # its line of the list; attempts of this gateway out there
+        self.told, self.due = entry.started, -1  # its start as listed; back by hand: when it is to be used
+        self.others, self.slow = 0.0, 1.0  # what the others have there, as told; its times over those of all
+        self.bad: defaultdict[Plan | None, float] = defaultdict(float)  # failures, 0 to 1; by plan: full
+        self.last_good = self.told_at = self.last_sent = 0
+        self.turn, self.turned = 0, -1  # ours while it is cold: the one that is open; the last one taken
+        self.sent: deque[tuple[int, float]] = deque(maxlen=1000)  # work sent while cold
+
+
+class Try:
+    """One attempt; it may have run until its outcome proves that it never did."""
+
+    def __init__(self, server: Server, at: int) -> None:
+        self.server, self.at, self.out, self.may_have_run = server, at, True, True
--- a/irisdeal/door/loop.py
+++ b/irisdeal/door/loop.py
@@ -71,6 +71,7 @@
         self.drain_by = 0  # when all must be answered; 0 while in service
         self.late = Lateness()
         self.watch: QueueWatch | None = None  # where a report is to be had
+        self.on_listed: Callable[[ServerList], None] = lambda _: None
         self.on_refetch: Callable[[], None] = lambda: None
         self.on_over: Callable[[ClientRequest], None] = lambda _: None  # answered, and no attempt is out
         self.actions: dict[type, Callable[[Any], None]] = {
@@ -86,9 +87,10 @@
         self.events.append(event)
         if not self.scheduled:
             self.scheduled = True
-            self.loop.call_soon(self._turn)
+            self.loop.call_soon(self.turn)
 
-    def _turn(self) -> None:
+    def turn(self) -> None:
+        """Let the module hear what has been posted, and do what it says, at once."""
         events, self.events = self.events, Batch()
         self.scheduled = False
         if not events:  # another turn took them
@@ -154,6 +156,7 @@
         for server, place in old.items():
             if self.places.get(server) != place:  # moved or gone
                 self.pool.retire(server)
+        self.on_listed(told)
         self.post(told)
 
     def recount(self, address: Address | None) -> None:
@@ -168,7 +171,7 @@
             # Where the loop stood still, the module's own wake is due as well and comes a turn behind this:
             # it is asked first, since it knows whether a refusal may be promised.
             self.events.append(Woken(0))
-            self._turn()
+            self.turn()
         if request is not None and not request.final:
             log.error("request %d was left unanswered", number)
             self._leave(number, lambda client: client.reply(500, b"failed\n"))
--- a/irisdeal/door/operator.py
+++ b/irisdeal/door/operator.py
@@ -13,9 +13,10 @@
 import httptools
 
 from cresspulley.control import Gateway
-from cresspulley.interface import ServerState
+from cresspulley.interface import Barred, ServerList, ServerState
 from irisdeal.door.config import Address
 from irisdeal.door.listener import Listener
+from irisdeal.operator.bans import Bans
 from irisdeal.operator.calls import MOST_BODY, MOST_HEAD, Call, TurnedDown, What, read
 from irisdeal.operator.figures import CLASS_LABEL, CONTENT_TYPE, Figure, Kind, Registry
 
@@ -133,6 +134,8 @@
         self.address, self.program, self.most, self.loop = address, program, most, loop
         self.callers: dict[Caller, None] = {}  # in the order in which they came
         self.figures = Registry()
+        self.bans = Bans()
+        program.door.on_listed = self.listed
         self.listener = Listener(self.admit, loop, self.room, program.host)
         self.timer: asyncio.TimerHandle | None = None
         self._figures()
@@ -185,7 +188,19 @@
             return (200, b"ready\n", TEXT) if ready else (503, f"not ready: {why}\n".encode(), TEXT)
         if call.what is What.METRICS:
             return 200, self.figures.text(), CONTENT_TYPE
-        raise TurnedDown(503, "bans by hand are to come")
+        bans, out = self.bans, call.what is What.DISABLE
+        news = bans.disable(call.target) if out else bans.enable(call.target)
+        if news is None:
+            raise TurnedDown(404, "no list has named this id")
+        if news:  # the module has heard of it before the yes is written
+            self.program.door.post(Barred(call.target, out))
+            self.program.door.turn()
+            log.info("%r is %s by hand", call.target.decode(errors="replace"), "out" if out else "back")
+        return 200, b"out\n" if out else b"back\n", TEXT
+
+    def listed(self, told: ServerList) -> None:
+        """News of the list."""
+        self.bans.named([entry.server for entry in told.entries], self.program.door.places)
 
     def _figures(self) -> None:
         program, classes = self.program, self.program.config.classes
@@ -216,4 +231,6 @@
         return {k: s.entry.state for k, s in decider.servers.items()} if isinstance(decider, Gateway) else {}
 
     def _avoided(self) -> int:
-        return sum(state is not ServerState.READY for state in self._servers().values())
+        banned = self.bans.banned
+        return sum(state is not ServerState.READY or server in banned
+                   for server, state in self._servers().items())
--- a/irisdeal/queueing/fair.py
+++ b/irisdeal/queueing/fair.py
@@ -28,7 +28,7 @@
 import heapq
 import math
 from collections import OrderedDict
-from collections.abc import Hashable, Iterable, Iterator
+from collections.abc import Hashable, Iterable
 from typing import Generic, TypeVar
 
 T = TypeVar("T")
@@ -230,17 +230,6 @@
         self._idle.clear()
         self._flows.clear()
 
-    def longest(self, count: int) -> Iterator[Flow[T]]:
-        """The longest queues, at most `count`, the longest first."""
-        for flows in reversed(self._lengths):
-            for flow in flows:
-                if count <= 0:
-                    return
-                count -= 1
-                yield flow
-
-    # Inside
-
     def _take_out(self, entry: Entry[T], flow: Flow[T]) -> None:
         del flow.entries[entry]
         entry.flow = None
--- a/irisdeal/quota/account.py
+++ b/irisdeal/quota/account.py
@@ -22,8 +22,9 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass, replace
-from enum import Enum
+from dataclasses import replace
+
+from irisdeal.quota.call import Call, Purpose
 
 SECOND = 1_000_000
 LONGEST_EPOCH, SHORTEST_EPOCH = 20.0, 4.0  # s that a name is used; the keeper keeps one for 60 s at most
@@ -42,34 +43,6 @@
 ROOM, LEFT = 0.9, 0.5  # parts of the rate and of the store that pass unclaimed, while the keeper is silent
 
 
-class Purpose(Enum):
-    """What a call is for."""
-
-    CLAIM = "units for a request, and what is asked"
-    READ = "how far the last name was drawn"
-    LIFT = "the figure is brought to where it should be"
-    RETURN = "units or a lift are given back"
-
-
-@dataclass(frozen=True, slots=True)
-class Call:
-    """A call to the keeper: add `amount` to `name`, which lives `life` µs if it is new.
-
-    `index` is the number of the claim's name, `quanta` what is added to the store's figure, `units` and
-    `asked` what a claim stands for, and `expected` the total that a lift should lead to.
-    """
-
-    purpose: Purpose
-    name: int
-    amount: float
-    life: int
-    index: int
-    quanta: int = 0
-    units: float = 0.0
-    asked: float = 0.0
-    expected: float = 0.0
-
-
 class Account:
     """One customer of one plan with a rate, at one door."""
 
--- a/tests/test_account.py
+++ b/tests/test_account.py
@@ -7,7 +7,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from irisdeal.quota.account import ASKED_FULL, Account, Call, Purpose
+from irisdeal.quota.account import ASKED_FULL, Account
+from irisdeal.quota.call import Call, Purpose
 
 SECOND = 1_000_000
 MS = 1_000
--- a/tests/test_fair_queue.py
+++ b/tests/test_fair_queue.py
@@ -202,7 +202,6 @@
         _, gone = put(q, f"quiet{n}")
         assert all(store == "greedy" for store, _ in gone)
     assert len(q) == 100 and q.given_way == 85
-    assert {flow.key[2] for flow in q.longest(1) if isinstance(flow.key, tuple)} == {"greedy"}
     _, gone = put(q, "greedy", 99)
     assert gone == [("greedy", 99)]  # its own newest
 
