A second process takes over state and listening socket; budgets are split meanwhile

Through a Unix socket in TMPDIR the old process tells bans, list, learnt times and accounts, then passes its listening socket; half of every ceiling goes along, cold backends wholly. Nobody answers, or it is no message: one line in the log and a start from nothing beside it by SO_REUSEPORT.

--- a/cresspulley/records.py
+++ b/cresspulley/records.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import defaultdict, deque
+from dataclasses import replace
 
 from cresspulley.interface import Plan, ServerEntry
 
@@ -19,6 +20,10 @@
         self.turn, self.turned = 0, -1  # ours while it is cold: the one that is open; the last one taken
         self.sent: deque[tuple[int, float]] = deque(maxlen=1000)  # work sent while cold
 
+    def listed(self) -> ServerEntry:
+        """Its line as the list told it."""
+        return replace(self.entry, started=self.told)
+
 
 class Try:
     """One attempt; it may have run until its outcome proves that it never did."""
--- a/irisdeal/door/clients.py
+++ b/irisdeal/door/clients.py
@@ -6,6 +6,7 @@
 import logging
 import math
 import re
+import socket
 from collections import deque
 from collections.abc import Callable, Collection
 from functools import lru_cache
@@ -562,8 +563,13 @@
     def connections(self) -> Collection[Client]:
         return self.places.stages
 
-    def listen(self) -> None:
-        self.listener.listen(self.config.listen)
+    def listen(self, beside: bool = False) -> None:
+        self.listener.listen(self.config.listen, beside)
+        self.loop.call_later(SWEEP, self._sweep)
+
+    def adopt(self, listening: socket.socket) -> None:
+        """Listen with a socket of an older process of this door."""
+        self.listener.adopt(listening)
         self.loop.call_later(SWEEP, self._sweep)
 
     def port(self) -> int:
--- a/irisdeal/door/host.py
+++ b/irisdeal/door/host.py
@@ -36,6 +36,10 @@
         """The configuration as it is by now. ConfigError where it cannot be used."""
         return load(os.environ, again=True)
 
+    def folder(self) -> str:
+        """A folder that another process of this door shares; empty where there is none."""
+        return os.environ.get("TMPDIR", "")
+
     def settled(self) -> None:
         """The program has started: what is in memory now stays, and need not be looked at again."""
         gc.collect()
--- a/irisdeal/door/listener.py
+++ b/irisdeal/door/listener.py
@@ -49,13 +49,16 @@
         self.socket: socket.socket | None = None
         self.tasks: set[asyncio.Task[None]] = set()
         self.backlog = Backlog()
-        self.held = self.finishing = False
+        self.held = self.finishing = self.suspended = False
         self.on_closed: Callable[[], None] = lambda: None
 
-    def listen(self, address: Address) -> None:
+    def listen(self, address: Address, beside: bool = False) -> None:
+        """`beside`: another process may listen at the address as well. OSError where it cannot be had."""
         made = self.host.listening(socket.AF_INET6 if ":" in address[0] else socket.AF_INET)
         try:
             made.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)  # a restart takes its address again
+            if beside:
+                made.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
             made.bind((address[0].strip("[]"), address[1]))
             made.listen(self.backlog.length)
             made.setblocking(False)
@@ -65,6 +68,25 @@
         self.socket = made
         self.loop.add_reader(made, self._accept)
 
+    def adopt(self, listening: socket.socket) -> None:
+        """Accept from a socket that listens already; another process may do so as well."""
+        listening.setblocking(False)
+        listening.listen(self.backlog.length)
+        self.socket = listening
+        self.loop.add_reader(listening, self._accept)
+
+    def suspend(self) -> None:
+        """Accept no more: another process has the same queue."""
+        if self.socket is not None and not self.suspended:
+            self.suspended = self.held = True
+            self.loop.remove_reader(self.socket)
+
+    def resume(self) -> None:
+        """It has gone."""
+        if self.suspended:
+            self.suspended = False
+            self.release()
+
     def port(self) -> int:
         assert self.socket is not None
         return int(self.socket.getsockname()[1])
@@ -72,7 +94,9 @@
     def finish(self) -> None:
         """Close once nothing waits any more: closing resets what the kernel still holds, requests and all."""
         self.finishing = True
-        if not self.held:
+        if self.suspended:  # what waits is the other's
+            self.close()
+        elif not self.held:
             self._accept()
 
     def close(self) -> None:
@@ -85,7 +109,7 @@
 
     def release(self) -> None:
         """There may be room again."""
-        if self.held and self.socket is not None:
+        if self.held and not self.suspended and self.socket is not None:
             self.held = False
             self.loop.add_reader(self.socket, self._accept)
             if self.finishing:  # an empty queue makes no socket readable
--- a/irisdeal/door/program.py
+++ b/irisdeal/door/program.py
@@ -23,9 +23,10 @@
 from irisdeal.door.discovery import Discovery
 from irisdeal.door.host import Host
 from irisdeal.door.loop import Door
-from irisdeal.door.limits import CALLERS, share
+from irisdeal.door.limits import CALLERS, OPERATORS_OWN, OWN, share
 
 if TYPE_CHECKING:
+    from irisdeal.door.handover import Handover
     from irisdeal.door.operator import Operator
     from irisdeal.door.report import Report
     from irisdeal.door.routed import Router
@@ -98,18 +99,30 @@
             from irisdeal.door.operator import Operator
 
             self.operator = Operator(config.operator, self, CALLERS, loop)
+        self.handover: Handover | None = None
+        if config.operator is not None and (folder := self.host.folder()):
+            from irisdeal.door.handover import Handover
+
+            self.handover = Handover(self, folder, loop)
         self.over = asyncio.Event()
         self.stopping = False
 
     def start(self) -> None:
         """Listen, and watch the list."""
-        self.discovery.remember()
+        shared = self.handover.settle() if self.handover is not None else None
+        if shared is None:
+            self.discovery.remember()
         if self.operator is not None:
             with listening("operator", self.operator.address):
                 self.operator.start()
         with listening("listen", self.config.listen):
-            self.clients.listen()
+            if shared is not None:
+                self.clients.adopt(shared)
+            else:
+                self.clients.listen(beside=self.config.operator is not None)
         self.discovery.start()
+        if self.handover is not None:
+            self.handover.accepting()
 
     async def run(self) -> None:
         """Serve until SIGTERM, then until all is answered."""
@@ -119,6 +132,8 @@
             await self.router.first()
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
         await self.tell()
+        if self.handover is not None:
+            await self.handover.take()
         self.start()
         self.host.settled()
         await self.over.wait()
@@ -133,6 +148,8 @@
         until = self.loop.time() + 0.15
         while self.clients.connections and self.loop.time() < until:
             await asyncio.sleep(0.005)
+        if self.handover is not None:
+            self.handover.stop()  # last: from here the other process has all that this one might spend
 
     async def tell(self) -> None:
         """Make the report to be had, where there is one. ConfigError where its socket cannot be had."""
@@ -142,6 +159,16 @@
             except OSError as error:
                 raise ConfigError(f"report: {self.report.path}: {error.strerror or error}") from None
 
+    def resize(self, sockets: int) -> None:
+        """So many descriptors are ours from now on; what is over goes as it ends."""
+        limits = share(sockets, self.config.operator is not None)
+        self.clients.places.most, self.clients.places.reserve = limits.clients, limits.reserve
+        self.pool.most = limits.backends
+
+    def held(self) -> int:
+        """Descriptors that are in use by now, at most."""
+        return OWN + OPERATORS_OWN + len(self.clients.connections) + len(self.pool.all)
+
     def is_ready(self) -> tuple[bool, str]:
         """Whether this process can serve, and why not."""
         if self.stopping:
