--- a/cresspulley/control.py
+++ b/cresspulley/control.py
@@ -15,11 +15,11 @@
 from typing import Any
 
 from cresspulley.interface import (
-    Action, Arrival, AttemptEnded, Barred, Cancel, ClassesChanged, Count, CountAnswer, Event, Fail,
-    FollowList, Group, ListKind, Plan, Refuse, Repeat, RequestEnded, Restricted, Result, Send, ServerList,
-    ServerState, Settings, Shared, StreamStarted, Wake)
-from cresspulley.records import Server, Try
-from irisdeal.queueing.fair import Entry, FairQueue, Flow
+    Action, Arrival, AttemptEnded, Barred, BodyComplete, Cancel, ClassesChanged, Count, CountAnswer, Event,
+    Fail, FollowList, Group, ListKind, Plan, Refuse, Repeat, RequestEnded, Restricted, Result, Send,
+    ServerList, ServerState, Settings, Shared, StreamStarted, Wake)
+from cresspulley.records import Request, Server, Try
+from irisdeal.queueing.fair import FairQueue, Flow
 from irisdeal.quota.account import Account
 from irisdeal.quota.call import Call, Purpose
 
@@ -31,9 +31,7 @@
 KNOWN_FOR, FORGOTTEN = 20_000_000, 4  # a total so old says little; customers forgotten at most for an arrival
 STRAIN_MOST, STRAIN_UP, STRAIN_DOWN = 20.0, 1.15, 0.80  # failed calls, once most fail, spare further ones
 FIRST_WORK_SHARE = 1 / 6  # a class's service time before any answer, as a share of its aim: high on purpose
-# A customer that comes through more gateways than this is claimed for try by try: each of them sees too
-# little of it to reckon by, and they are so many that each has few calls to make.
-FEW_WAYS = 8
+FEW_WAYS = 8  # gateways of a customer: each of more sees too little to reckon by, and claims try by try
 NEED = 4.0  # of these, customers that ask for a quarter of their room or more are claimed for each time
 CROWD_UP, CROWD_DOWN = 1.15, 0.8  # claims are spared once three in five are turned away
 CALL_PATIENCE = 4  # counter time-outs that a claim is waited for, where a front door can: late, it counts
@@ -48,8 +46,8 @@
 MANY_LEAST = 1.0  # usual windows that a gateway of many keeps at least
 LOOK = 16  # servers compared for a request, drawn at random: many gateways with one favourite would drown it
 FADE = 0.1  # share of a server's bad name forgotten each second unused, so that it is tried again
-# Bands of worth for the time: the window is so many times as wide for each, and they share it by this weight.
-# Half to double, as cheap plans must not starve; eight steps of 2**(1/4), finer than what is known of times.
+# Bands of worth for the time: the window is so many times as wide for each, and they share it by this weight,
+# half to double, as cheap plans must not starve.
 BANDS = tuple(2.0 ** (n / 4 - 1.0) for n in range(9))
 MOST_WAITING, MOST_BYTES, MOST_QUEUES = 4096, 8 << 20, 8192  # a door of 32 MB has some 16 for all of it
 LEAST_WORK = 20_000.0  # µs that a turn at a cold server is worth at least
@@ -57,29 +55,11 @@
 CROSSING_LEAN = 1.5  # how much faster a server in another zone must look, where crossing costs
 AGAIN_SHARE, AGAIN_MOST = 0.1, 10.0  # further attempts per first, and saved up: no swelling of an overload
 HOLD_SHARE, HOLD_MOST = 0.6, 0.4  # of the aim's spare time that a request may wait for its bound; of its own
-# The same for a wait for the fleet, in turn with all others: what stands longer than a burst needs is delay
-# that all pay and nobody gains by (CoDel, RFC 8289, 3.2). 0.1 to 0.3 are alike, 0.6 and 0.05 are worse.
-QUEUE_SHARE = 0.2
+QUEUE_SHARE = 0.2  # the same for a wait for the fleet: a standing queue is delay for all (RFC 8289, 3.2)
 SECOND = 1_000_000
 NEVER_RAN = (Result.TURNED_AWAY, Result.NOT_CONNECTED, Result.NOT_SENT)
 
 
-class Request:
-    """A request taken, kept until it is answered and no attempt of it is out."""
-
-    def __init__(self, event: Arrival, customer: Customer, now: int, tick: int) -> None:
-        self.id, self.kind = event.request, event.request_class
-        self.units, self.customer = event.units, customer
-        self.arrived, self.gives_up = now, now + event.time_left
-        self.last = self.waits_till = max(now, self.gives_up - 2 * tick)  # when it must be answered; sent
-        self.tries: list[Try] = []
-        self.ended = False
-        # Units that it holds of its customer's store: claimed, or drawn while the counter had no time.
-        self.claim: Call | None = None
-        self.drawn = 0.0
-        self.entry = Entry(self, 1.0, event.size, now)  # its place while it waits
-
-
 class Customer:
     """A customer's share here: bound and queue, what is known of its total, and its part of the ceiling."""
 
@@ -183,14 +163,13 @@
         self.actions: list[Action] = []
         self.handlers: dict[type, Callable[[Any], None]] = {
             ServerList: self._server_list, Arrival: self._arrival, AttemptEnded: self._attempt_ended,
-            StreamStarted: self._end, RequestEnded: self._end, CountAnswer: self._counted,
+            StreamStarted: self._stream_started, RequestEnded: self._end, CountAnswer: self._counted,
             ClassesChanged: self._classes_changed, Restricted: self._restricted, Barred: self._barred,
-            Shared: self._shared}
+            Shared: self._shared, BodyComplete: self._body_complete}
 
     def handle(self, now: int, events: list[Event]) -> list[Action]:
         """Take what happened by `now`; return what to do, in order."""
-        if self.agenda and now > self.wake_at + STALL:
-            self.woke = now
+        self.woke = now if self.agenda and now > self.wake_at + STALL else self.woke
         self.now, self.actions = now, []
         if self.born < 0:
             self.born = now
@@ -223,8 +202,7 @@
     def _restricted(self, event: Restricted) -> None:
         if request := self.requests.get(event.request):
             old, new = (self.settings.classes[n] for n in (request.kind, event.request_class))
-            order = (Repeat.SAFE, Repeat.KEYED, Repeat.UNSAFE)
-            if order.index(new.repeat) < order.index(old.repeat):
+            if (order := list(Repeat)).index(new.repeat) < order.index(old.repeat):
                 raise ValueError(f"request {event.request} would be {new.repeat.value}: wanted no milder")
             request.kind = event.request_class
 
@@ -267,6 +245,22 @@
         for customer in self.customers.values():
             customer.resize(times, self.now)
 
+    def _body_complete(self, event: BodyComplete) -> None:
+        """Its time counts from now: its answer's, and that of what was sent with its body on the way."""
+        if (request := self.requests.get(event.request)) and not request.ended and request.uploading:
+            self._uploaded(request)
+            request.arrived, request.gives_up = self.now, self.now + event.time_left
+            request.last = max(self.now, request.gives_up - 2 * self.settings.tick)
+            self._plan(request.last, self._time_up, request)
+            for attempt in [t for t in request.tries if t.out]:
+                attempt.at, patience = self.now, int(PATIENCE * self.usual[request.kind])
+                self._plan(self.now + patience, self._overdue, (request, attempt))
+
+    def _uploaded(self, request: Request) -> None:  # units of a ceiling count from here: room for them again
+        if request.tries and request.customer.plan.ceiling_rate:
+            request.customer.ceiling_most += request.units
+        request.uploading = False
+
     def _warmth(self, server: Server) -> float:  # the least share of its capacity that it has by now
         part = max(0, self.now - server.entry.started) / max(1, self.settings.warm_up)
         return min(1.0, self.settings.start_capacity + (1.0 - self.settings.start_capacity) * part)
@@ -274,8 +268,7 @@
     def _fits_cold(self, server: Server, warmth: float) -> bool:
         """Our part of what a cold server may be sent, taken to have one core: even, or by turns."""
         s, work, rate = self.settings, self.first_work, COLD_MARGIN * self.settings.fall_multiple
-        budget = rate * warmth * s.fall_window / s.gateways
-        if budget >= work:
+        if (budget := rate * warmth * s.fall_window / s.gateways) >= work:
             return work + sum(w for at, w in server.sent if at > self.now - s.fall_window) <= budget
         # All gateways number the turns alike; ours stays open for half a window, so turns are as much fewer.
         # What one is worth is learnt: by the first guess, which is high, a fleet would leave it idle.
@@ -371,20 +364,18 @@
         passes, customer.credit = divmod(customer.credit + 1.0 - chance, 1.0)  # spread evenly
         if passes < 1.0:
             return self._answer(request)
-        if call:
-            claim = account.claim(request.units, self.now, self.random.random())
-            return self._tell(customer, [claim], request)
-        self._draw(request, account)
+        (self._claim_again if call else self._draw)(request)
 
     def _claim_again(self, request: Request) -> None:
         if not request.ended and (account := request.customer.account):
             claim = account.claim(request.units, self.now, self.random.random())
             self._tell(request.customer, [claim], request)
 
-    def _draw(self, request: Request, account: Account) -> None:
-        request.drawn = request.units
-        account.draw(request.units, self.now)
-        self._enqueue(request)
+    def _draw(self, request: Request) -> None:
+        if account := request.customer.account:
+            request.drawn = request.units
+            account.draw(request.units, self.now)
+            self._enqueue(request)
 
     def _tell(self, customer: Customer, calls: list[Call], request: Request | None = None) -> None:
         for call in calls:
@@ -421,9 +412,7 @@
             self._free(customer)  # its bound may have grown
         chance = max(0.0, 1.0 - room / total) if total > 0 and (plan.rate or customer.small) else 0.0
         passes, customer.credit = divmod(customer.credit + 1.0 - chance, 1.0)  # spread evenly
-        if passes < 1.0:
-            return self._answer(request)
-        self._enqueue(request)
+        (self._enqueue if passes >= 1.0 else self._answer)(request)
 
     def _enqueue(self, request: Request) -> None:
         customer = request.customer
@@ -485,6 +474,8 @@
 
     def _send(self, request: Request, server: Server) -> None:
         request.customer.out += 1
+        if request.uploading and not request.tries and request.customer.plan.ceiling_rate:
+            request.customer.ceiling_most -= request.units  # they fill no room before their body has come
         request.tries.append(attempt := Try(server, self.now))
         server.out, server.last_sent, server.due = server.out + 1, self.now, -1
         self.out, self.last_sent = self.out + 1, self.now
@@ -523,13 +514,29 @@
     def _overdue(self, subject: tuple[Request, Try]) -> None:
         """Out for much longer than usual: a mark against the server long before the time-out."""
         request, attempt = subject
-        if attempt.out:
+        if attempt.out and not (request.uploading or attempt.flows):
             self._judge(attempt, attempt.server.last_good > attempt.at, PATIENCE, None)  # silent or slow?
             if self.settings.parallel_attempts:
                 self._try_again(request)
             elif self.settings.may_cancel and self._another(request):
                 self.actions.append(Cancel(request.id, request.tries.index(attempt)))  # its end sends anew
 
+    def _good(self, request: Request, attempt: Try, took: int) -> None:
+        """A good answer, or its first bytes: what it tells of its server, the fleet and the class."""
+        server, usual = attempt.server, self.usual[request.kind]
+        server.last_good = self.now
+        late = took > GOOD_SHARE * self.settings.classes[request.kind].aim
+        over = self.window / self.usual_window  # settles at the number of good answers for a late one
+        step = -min(self.window, over) if late else min(self.window, 1.0 / over)
+        step = 0.0 if self.many and self._warmth(server) < 1.0 else step  # its time is no sign of a queue
+        # A gateway of many hears too little to narrow far by: a few late answers are not its own doing.
+        least = MANY_LEAST * self.usual_window if self.many else LEARN
+        self.window = max(least, min(max(2.0, WIDEST * self.usual_window), self.window + LEARN * step))
+        self._judge(attempt, True, took / usual, None, request.customer.plan)
+        self.usual[request.kind] = usual + LEARN * (min(took, 5 * usual) - usual)
+        least = self.quickest[request.kind] or took
+        self.quickest[request.kind] = min(float(took), least + CREEP * (usual - least))
+
     def _attempt_ended(self, event: AttemptEnded) -> None:
         request = self.requests.get(event.request)
         if request is None or event.attempt >= len(request.tries) or not request.tries[event.attempt].out:
@@ -538,21 +545,11 @@
         server, usual = attempt.server, self.usual[request.kind]
         customer.out -= 1
         attempt.out, attempt.may_have_run = False, event.result not in NEVER_RAN
-        server.out, self.out = server.out - 1, self.out - 1
-        if event.result is Result.OK:
-            server.last_good = self.now
-            late = event.took > GOOD_SHARE * self.settings.classes[request.kind].aim
-            over = self.window / self.usual_window  # settles at the number of good answers for a late one
-            step = -min(self.window, over) if late else min(self.window, 1.0 / over)
-            step = 0.0 if self.many and self._warmth(server) < 1.0 else step  # its time is no sign of a queue
-            # A gateway of many hears too little to narrow far by: a few late answers are not its own doing.
-            least = MANY_LEAST * self.usual_window if self.many else LEARN
-            self.window = max(least, min(max(2.0, WIDEST * self.usual_window), self.window + LEARN * step))
-            self._judge(attempt, True, event.took / usual, None, customer.plan)
-            self.usual[request.kind] = usual + LEARN * (min(event.took, 5 * usual) - usual)
-            least = self.quickest[request.kind] or event.took
-            self.quickest[request.kind] = min(float(event.took), least + CREEP * (usual - least))
-        elif event.result not in (Result.CANCELLED, Result.NOT_SENT) and (
+        if not attempt.flows:
+            server.out, self.out = server.out - 1, self.out - 1
+        if event.result is Result.OK and not attempt.flows:
+            self._good(request, attempt, event.took)
+        elif event.result not in (Result.OK, Result.CANCELLED, Result.NOT_SENT) and (
                 event.result is not Result.TIMED_OUT or event.took >= PATIENCE * usual):  # else little time
             self._judge(attempt, False, None, customer.plan if event.result is Result.TURNED_AWAY else None)
         if load := event.load:
@@ -575,12 +572,22 @@
         self.actions.append(Refuse(request.id) if promise else Fail(request.id))
         self._end(request)
 
-    def _end(self, event: Request | RequestEnded | StreamStarted) -> None:
-        """Answered, or the client left, or its answer flows: nothing more is owed."""
+    def _stream_started(self, event: StreamStarted) -> None:
+        """Its answer flows: out for its customer until its end, but no more work for its server."""
+        if (request := self.requests.get(event.request)) and event.attempt < len(request.tries) and (
+                attempt := request.tries[event.attempt]).out:
+            attempt.flows, attempt.server.out, self.out = True, attempt.server.out - 1, self.out - 1
+            self._good(request, attempt, event.took)
+            self._end(request)
+
+    def _end(self, event: Request | RequestEnded) -> None:
+        """Answered, or the client left: nothing more is owed."""
         request = event if isinstance(event, Request) else self.requests.get(event.request)
         if request is None:
             return
         request.ended = True
+        if request.uploading:
+            self._uploaded(request)
         if not request.tries and (account := request.customer.account):
             self._tell(request.customer, account.give_back(request.claim) if request.claim else [])
             account.undraw(request.drawn)
@@ -592,7 +599,7 @@
             self.requests.pop(request.id, None)
 
     def _time_up(self, request: Request) -> None:
-        if request.ended:
+        if request.ended or (request.uploading and request.tries):
             return
         flow = request.entry.flow
         if self.now >= request.last or (flow and (not flow.held or self.now >= request.waits_till)):
@@ -648,7 +655,7 @@
             request.claim = call
             self._enqueue(request)
         else:
-            self._draw(request, account)
+            self._draw(request)
 
     def _counted(self, event: CountAnswer) -> None:
         if event.name in self.claims:
--- a/cresspulley/interface.py
+++ b/cresspulley/interface.py
@@ -180,7 +180,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Arrival:
-    """A client's request. `first_gateway` and `gateways` name the customer's set; `size` is its bytes."""
+    """A client's request. `first_gateway` and `gateways` name the customer's set; `size` is its bytes.
+
+    Where it is `uploading` its body is still on the way, and its time counts from `BodyComplete` on.
+    """
 
     request: int
     customer: int
@@ -193,6 +196,7 @@
     is_retry: bool = False
     is_write: bool = False
     size: int = 0
+    uploading: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -293,9 +297,18 @@
         _require(0.0 < self.part <= 1.0, "part", self.part, "a share over 0")
 
 
+@dataclass(frozen=True, slots=True)
+class BodyComplete:
+    """The last byte of a request's body has come; from now on `time_left` counts."""
+
+    request: int
+    time_left: int
+
+
 Event = (
     ServerList | Arrival | AttemptEnded | StreamStarted | RequestEnded | CountAnswer | ProbeEnded
     | PeerMessage | Woken | ClassesChanged | Restricted | Barred | Shared
+    | BodyComplete
 )
 
 
--- a/cresspulley/records.py
+++ b/cresspulley/records.py
@@ -1,11 +1,18 @@
-"""What one gateway keeps of a server and of an attempt: records, with no decision in them."""
+"""What one gateway keeps of a server, an attempt and a request: records, with no decision in them."""
 
 from __future__ import annotations
 
 from collections import defaultdict, deque
 from dataclasses import replace
 
-from cresspulley.interface import Plan, ServerEntry
+from typing import TYPE_CHECKING
+
+from cresspulley.interface import Arrival, Plan, ServerEntry
+from irisdeal.queueing.fair import Entry
+from irisdeal.quota.call import Call
+
+if TYPE_CHECKING:
+    from cresspulley.control import Customer
 
 
 class Server:
@@ -30,3 +37,20 @@
 
     def __init__(self, server: Server, at: int) -> None:
         self.server, self.at, self.out, self.may_have_run = server, at, True, True
+        self.flows = False  # its answer has begun and is passed on
+
+
+class Request:
+    """A request taken, kept until it is answered and no attempt of it is out."""
+
+    def __init__(self, event: Arrival, customer: Customer, now: int, tick: int) -> None:
+        self.id, self.kind = event.request, event.request_class
+        self.units, self.customer = event.units, customer
+        self.arrived, self.gives_up = now, now + event.time_left
+        self.last = self.waits_till = max(now, self.gives_up - 2 * tick)  # when it must be answered; sent
+        self.tries: list[Try] = []
+        self.ended, self.uploading = False, event.uploading  # its body is still on the way
+        # Units that it holds of its customer's store: claimed, or drawn while the counter had no time.
+        self.claim: Call | None = None
+        self.drawn = 0.0
+        self.entry = Entry(self, 1.0, event.size, now)  # its place while it waits
--- a/irisdeal/door/backends.py
+++ b/irisdeal/door/backends.py
@@ -4,8 +4,9 @@
 
 import asyncio
 import logging
+import socket
 from collections.abc import Callable
-from typing import Any, cast
+from typing import TYPE_CHECKING, Any, Protocol, cast
 
 import httptools
 
@@ -14,10 +15,17 @@
 from irisdeal.door.config import Address, Config
 from irisdeal.door.host import Host
 
+if TYPE_CHECKING:
+    from irisdeal.streaming.budget import Budget
+
 log = logging.getLogger("irisdeal.backends")
 
 MOST_BODY = 65_536
 MOST_HEAD = 16_384
+MOST_STREAM = 64 << 20  # bytes of an answer that is passed on: twice the longest there are
+READ = 131_072  # bytes that one read of a stream brings at most: `irisdeal.streaming.budget.READ`
+UNSENT = 65_536  # bytes of a body that may wait for a backend to read
+SOON = 0.1  # s after its head: an answer of unknown length is passed on from here
 MOST_INTERIM = 16  # 1xx answers ahead of one that counts
 IDLE_SHARE = 0.5  # of the set idle time: a request on a connection closed meanwhile ends as a reset
 # Some close sooner: a request on a dead connection costs far more than a new connection.
@@ -32,6 +40,28 @@
     "qps": "served_per_s", "eps": "errors_per_s"}
 
 
+class Outlet(Protocol):
+    """Where an answer goes that is passed on as it comes (`flows.py`)."""
+
+    source: Backend | None
+
+    def feed(self, data: bytes) -> None: ...
+
+    def end(self) -> None: ...
+
+    def abort(self) -> None: ...
+
+
+class Body(Protocol):
+    """A request's body that is still on its way (`flows.py`)."""
+
+    def attach(self, sink: Backend) -> None: ...
+
+    def detach(self, sink: Backend) -> None: ...
+
+    def pour(self) -> None: ...
+
+
 class Answer:
     """What a backend answered."""
 
@@ -72,8 +102,8 @@
 class Attempt:
     """One attempt of a request, out until `finish`."""
 
-    __slots__ = ("address", "bodiless", "connection", "done", "number", "on_end", "payload", "request",
-                 "sent", "server", "timer")
+    __slots__ = ("address", "bodiless", "body", "connection", "done", "number", "on_end", "on_stream",
+                 "payload", "request", "sent", "server", "timer", "took")
 
     def __init__(
         self, request: Any, number: int, server: bytes, sent: int,
@@ -82,6 +112,10 @@
         self.request, self.number, self.server, self.sent, self.on_end = request, number, server, sent, on_end
         self.address: Address = ("", 0)
         self.payload = b""
+        self.body: Body | None = None  # what follows the payload as it comes
+        # Called where an answer is passed on as it comes; None: it has nowhere to go.
+        self.on_stream: Callable[[Attempt, Answer, int | None], Outlet | None] = lambda *_: None
+        self.took: int | None = None  # µs to the first bytes of an answer that is passed on
         self.bodiless = False  # HEAD: its answer ends with its head
         self.connection: Backend | None = None
         self.timer: asyncio.TimerHandle | None = None
@@ -107,6 +141,13 @@
         self.finish(Result.TIMED_OUT if self.is_written() else Result.NOT_CONNECTED)
 
 
+def small_reads(transport: asyncio.Transport) -> None:
+    """No read of this connection brings more than a budget reckons with (`budget.READ`)."""
+    made = transport.get_extra_info("socket")
+    if made is not None:
+        made.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, READ // 2)
+
+
 class Backend(asyncio.Protocol):
     """One connection to a backend. It carries one request at a time."""
 
@@ -125,6 +166,14 @@
         self.parts: list[bytes] = []
         self.head_size = self.interim = 0
         self.begun = self.whole = self.reusable = False
+        # What only a door that passes long bodies on needs:
+        self.body: Body | None = None
+        self.flow: Outlet | None = None
+        self.length: int | None = None
+        self.chunked = self.until_close = self.in_trailer = False
+        self.choked = self.ending = self.held = False
+        self.heard = 0.0
+        self.soon: asyncio.TimerHandle | None = None
 
     # For the pool
 
@@ -135,10 +184,79 @@
 
     def _write(self) -> None:
         assert self.transport is not None and self.attempt is not None
-        self.written = True  # what the kernel takes may run: from here a break is a reset
+        payload, self.attempt.payload = self.attempt.payload, b""
+        if self.attempt.body is not None:
+            self.body = self.attempt.body
+            self.transport.set_write_buffer_limits(high=UNSENT)
+            self.transport.write(payload)
+            return self.body.attach(self)
+        self._is_written()
+        self.transport.write(payload)
+
+    def _is_written(self) -> None:
+        """What the kernel takes may run: from here a break is a reset."""
+        self.written = True
         self.pool.written += 1
-        self.transport.write(self.attempt.payload)
-        self.attempt.payload = b""
+
+    # A body that follows as it comes
+
+    def put(self, data: bytes) -> None:
+        if self.transport is not None:
+            self.transport.write(data)
+
+    def end_body(self, data: bytes) -> None:
+        """The last of it; it has left once nothing of it waits any more."""
+        if self.transport is None or self.ending:
+            return
+        self.ending = True
+        self.transport.write(data)
+        self.transport.set_write_buffer_limits(high=0)
+        if not self.transport.get_write_buffer_size():
+            self._is_written()
+
+    def pause_writing(self) -> None:
+        self.choked = True
+
+    def resume_writing(self) -> None:
+        self.choked = False
+        if self.ending:
+            if not self.written:
+                self._is_written()
+        elif self.body is not None:
+            self.body.pour()
+
+    # An answer that is passed on
+
+    def hold(self) -> None:
+        """Whoever it goes to does not read: neither do we."""
+        if not self.held and self.transport is not None:
+            self.held = True
+            self.transport.pause_reading()
+
+    def release(self) -> None:
+        if self.held and self.transport is not None:
+            self.held, self.heard = False, self.pool.loop.time()
+            self.transport.resume_reading()
+
+    def give_up(self) -> None:
+        """Nobody wants the rest of the answer."""
+        if self.attempt is not None:
+            self.attempt.finish(Result.CANCELLED)
+
+    def _pass_on(self) -> None:
+        if self.attempt is None or self.flow is not None or self.whole:
+            return
+        if self.written:  # an answer ahead of the body's end is none to this request
+            self.flow = self.attempt.on_stream(self.attempt, self.answer, self.length)
+        if self.flow is None:
+            self._end(Result.ERROR)
+            return self.drop()
+        self.flow.source = self
+        if self.transport is not None:
+            small_reads(self.transport)
+        for part in self.parts:
+            self.flow.feed(part)
+        self.parts = []
 
     def leave(self) -> None:
         """The attempt has ended: back to the pool after a whole answer, else closed."""
@@ -148,6 +266,8 @@
         if self.stalled is not None:
             self.stalled.cancel()
             self.stalled = None
+        if self.pool.budget is not None:
+            self._leave_streams()
         if self.whole and self.rested is not None:
             self.pool.learn(self.rested, True)
         if self.whole and self.reusable and not (self.lost or self.retired):
@@ -156,6 +276,23 @@
         else:
             self.drop()
 
+    def _leave_streams(self) -> None:
+        if self.soon is not None:
+            self.soon.cancel()
+            self.soon = None
+        body, self.body = self.body, None
+        if body is not None:
+            self.reusable = self.reusable and self.written  # an answer ahead of the body's end
+            body.detach(self)
+            if self.transport is not None and self.reusable:
+                self.transport.set_write_buffer_limits()
+        self.ending = False
+        flow, self.flow = self.flow, None
+        if flow is not None:
+            self.release()
+            if not self.whole:
+                flow.abort()
+
     def drop(self) -> None:
         """Close at once; the backend need not hear why."""
         self.lost = True
@@ -183,6 +320,12 @@
         return not self.pool.host.has_bytes(self.file)
 
     def _stall(self) -> None:
+        if self.pool.budget is not None and self.attempt is not None:
+            least = self.pool.stream_stall if self.flow is not None else self.pool.stall_time
+            stood = 0.0 if self.held else self.pool.loop.time() - self.heard
+            if stood < least:  # it still flows, or it is we who do not read
+                self.stalled = self.pool.loop.call_later(least - stood, self._stall)
+                return
         if self.attempt is not None:
             log.warning("an answer from %s:%d stopped half way", *self.address)
             self._end(Result.CONNECTION_LOST)
@@ -208,6 +351,11 @@
         self._write()
 
     def connection_lost(self, exc: Exception | None) -> None:
+        if exc is None and self.until_close and self.begun and self.attempt is not None:
+            self.begun, self.whole, self.reusable, self.lost = False, True, False, True
+            self.parser = self.transport = None
+            self.pool.forget(self)
+            return self._whole()
         self.parser = self.transport = None  # parser and connection hold each other
         if self.attempt is not None and self.rested is not None and not self.begun:
             self.pool.learn(self.rested, False)  # closed while it stood idle, and not seen in time
@@ -225,11 +373,20 @@
                 self._end(Result.CONNECTION_LOST)  # it may have run
                 return self.drop()
         if self.whole:
-            answer = self.answer
+            self._whole()
+        elif self.begun:
+            if self.pool.budget is not None:
+                self.heard = self.pool.loop.time()
+            if self.stalled is None:
+                self.stalled = self.pool.loop.call_later(self.pool.stall_time, self._stall)
+
+    def _whole(self) -> None:
+        answer = self.answer
+        if self.flow is not None:
+            self.flow.end()
+        else:
             answer.body = b"".join(self.parts)
-            self._end(outcome(answer), answer)
-        elif self.begun and self.stalled is None:
-            self.stalled = self.pool.loop.call_later(self.pool.stall_time, self._stall)
+        self._end(outcome(answer), answer)
 
     # The parser's calls
 
@@ -237,17 +394,24 @@
         if self.whole:
             raise ValueError("more than one answer to one request")
         self.answer, self.parts, self.head_size, self.begun = Answer(), [], 0, True
+        self.length, self.chunked, self.until_close, self.in_trailer = None, False, False, False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self.head_size += len(name) + len(value)
         if self.head_size > MOST_HEAD:
             raise ValueError(f"head over {MOST_HEAD} bytes")
+        if self.in_trailer:  # behind the body: no header of the answer
+            return
         key = name.lower()
         if key == b"content-length":
             if self.attempt is not None and self.attempt.bodiless:
                 return  # what GET would bring
-            if len(value) > 9 or int(value) > MOST_BODY:  # an answer of gigabytes is not waited for
-                raise ValueError(f"body over {MOST_BODY} bytes")
+            most = MOST_BODY if self.pool.budget is None else MOST_STREAM
+            if len(value) > 9 or int(value) > most:  # an answer of gigabytes is not waited for
+                raise ValueError(f"body over {most} bytes")
+            self.length = int(value)
+        elif key == b"transfer-encoding":
+            self.chunked = True
         elif key == b"endpoint-load-metrics":
             self.answer.load = read_load(value)
         elif key == b"usage-percent":
@@ -263,14 +427,28 @@
         if self.attempt is not None and self.attempt.bodiless and self.parser.get_status_code() >= 200:
             self.begun, self.reusable = False, False
             self.answer.status, self.whole, self.interim = self.parser.get_status_code(), True, 0
+        elif (status := self.parser.get_status_code()) >= 200:
+            self.in_trailer = True
+            if self.pool.budget is None:
+                return
+            self.answer.status = status
+            self.until_close = self.length is None and not self.chunked and status not in (204, 304)
+            if status == 200 and self.length is None:
+                self.soon = self.pool.loop.call_later(SOON, self._pass_on)
+            elif status == 200 and self.length is not None and self.length > MOST_BODY:
+                self._pass_on()
 
     def on_body(self, body: bytes) -> None:
         if self.attempt is not None and self.attempt.bodiless:
             return  # it should not be there; the connection ends anyway
+        if self.flow is not None:
+            return self.flow.feed(body)
         self.answer.size += len(body)
-        if self.answer.size > MOST_BODY:
-            raise ValueError(f"body over {MOST_BODY} bytes")
         self.parts.append(body)
+        if self.answer.size > MOST_BODY:
+            if self.pool.budget is None or self.answer.status != 200:
+                raise ValueError(f"body over {MOST_BODY} bytes")
+            self._pass_on()
 
     def on_message_complete(self) -> None:
         assert self.parser is not None
@@ -295,6 +473,8 @@
     ) -> None:
         self.host = host or Host()
         self.loop, self.most, self.rest_time, self.stall_time = loop, most, REST, STALLED
+        self.budget: Budget | None = None  # where long bodies are passed on
+        self.stream_stall = 0.0
         self.connect_timeout = config.connect_timeout / 1e6
         self.keep = self.longest = config.keepalive / 1e6 * IDLE_SHARE
         # By backend, not by address: a new backend may stand where another one stood.
--- a/irisdeal/door/clients.py
+++ b/irisdeal/door/clients.py
@@ -10,16 +10,22 @@
 from collections import deque
 from collections.abc import Callable, Collection
 from functools import lru_cache
-from typing import Protocol, cast
+from typing import TYPE_CHECKING, Protocol, cast
 
 import httptools
 
 from cresspulley.interface import Plan, Repeat
+from irisdeal.door.backends import small_reads
 from irisdeal.door.config import Config
 from irisdeal.door.host import Host
 from irisdeal.door.listener import Listener
 from irisdeal.overload.places import IDLE_FOR, SILENT_FOR, Places, Stage
 
+if TYPE_CHECKING:
+    from irisdeal.door.flows import Outflow, Upload
+    from irisdeal.streaming.budget import Budget
+    from irisdeal.streaming.pace import Pace
+
 log = logging.getLogger("irisdeal.clients")
 
 MOST_BODY = 65_536
@@ -92,30 +98,35 @@
         "counted",
         "customer",
         "first",
+        "flow",
         "gateways",
         "head",
         "is_retry",
         "is_write",
         "kind",
         "number",
+        "old_http",
         "plan",
         "routed",
         "then_close",
         "time_left",
         "trace",
         "units",
+        "upload",
         "where",
     )
 
     def __init__(self, where: Client) -> None:
         self.where, self.answer = where, b""
-        self.then_close = self.is_retry = self.is_write = False
+        self.then_close = self.is_retry = self.is_write = self.old_http = False
         self.number = -1  # given by the door
         self.head = self.body = self.trace = b""
         self.customer = self.plan = self.kind = self.time_left = self.first = 0
         self.counted = -1  # the class under which it is counted, once that is known
         self.gateways, self.units = 1, 1.0
         self.bodiless = False  # an answer to HEAD has no body
+        self.flow: Outflow | None = None  # its answer, where that is passed on as it comes
+        self.upload: Upload | None = None  # its body, likewise
         self.routed: object = None  # where a description gives the routes: what the router knows of it
 
     def reply(self, status: int, body: bytes, extra: bytes = b"") -> None:
@@ -128,6 +139,8 @@
 
     def take(self, request: ClientRequest) -> None: ...
 
+    def uploaded(self, request: ClientRequest) -> None: ...
+
     def gone(self, request: ClientRequest) -> None: ...
 
     def give_up(self, request: ClientRequest) -> None: ...
@@ -165,6 +178,10 @@
         self.since = side.now()  # of the last change between idle and busy
         self.begun = self.since  # of the request that comes in
         self.full_since = 0.0  # of a client that does not read its answers; 0.0 while it does
+        self.unread = 0  # bytes that waited for it at the last look
+        self.pace: Pace | None = None  # where long bodies are passed on: how the message comes in
+        self.upload: Upload | None = None  # the body that comes in, passed on as it comes
+        self.choked, self.choked_since = False, 0.0  # by its backend: not read meanwhile
         self.ends_at = 0.0  # when the connection is cut, once it closes
         self._reset()
 
@@ -181,6 +198,7 @@
         self.hop: set[bytes] = set()  # what its Connection fields name
         self.parts: list[bytes] = []
         self.body_size, self.framed = 0, False
+        self.length: int | None = None
 
     # The transport's calls
 
@@ -194,7 +212,13 @@
         self.side.left(self)
         waiting, self.waiting, self.transport = self.waiting, deque(), None
         self.parser = None  # parser and connection hold each other
+        if self.upload is not None:
+            self.side.uploading -= 1
+            self.upload.close()
+            self.upload = None
         for request in waiting:
+            if request.flow is not None:
+                request.flow.lost()
             if not request.answer:
                 self.side.count_gone(request)
                 self.side.open_traces.discard(request.trace)
@@ -214,9 +238,18 @@
                     log.error("a client's request failed: %r", fault)
                 fault = Malformed(400, "malformed request")
             self._reject(fault)
-        if len(self.waiting) >= MOST_PIPELINED:
+        if len(self.waiting) >= MOST_PIPELINED and self.upload is None:
             self._pause()
 
+    def choke(self, choked: bool) -> None:
+        """The backend that its body goes to does not read, or reads again."""
+        if choked != self.choked:
+            self.choked, self.choked_since = choked, self.side.now()
+            if choked:
+                self._pause()
+            else:
+                self._read_on()
+
     def _pause(self) -> None:
         if self.transport is not None and not (self.paused or self.broken):
             self.paused = True
@@ -231,13 +264,17 @@
 
     def resume_writing(self) -> None:
         self.full, self.full_since = False, 0.0
+        if self.waiting and (flow := self.waiting[0].flow) is not None:
+            flow.read_on()
         self._read_on()
 
     def _read_on(self) -> None:
-        if (self.paused and self.transport is not None and not (self.full or self.closing)
-                and len(self.waiting) < MOST_PIPELINED):
+        if (self.paused and self.transport is not None and not (self.full or self.closing or self.choked)
+                and (len(self.waiting) < MOST_PIPELINED or self.upload is not None)):
             self.paused = False
             self.begun = self.side.now()  # what we did not read was not slow
+            if self.pace is not None:
+                self.pace.read_on(self.begun)
             self.transport.resume_reading()
 
     # The parser's calls
@@ -246,6 +283,8 @@
         self.in_message, self.in_trailer, self.begun = True, False, self.side.now()
         self.side.places.move(self, Stage.BUSY, self.begun)
         self._reset()
+        if self.side.budget is not None:
+            self.pace = self.side.new_pace(self.begun)
 
     def on_url(self, url: bytes) -> None:
         self.url += url
@@ -268,8 +307,9 @@
             if self.framed or (key == b"transfer-encoding" and value.strip().lower() != b"chunked"):
                 raise Malformed(400, "odd framing")  # two ways to read it may hide a request in the body
             self.framed = True
-            if value.isdigit() and int(value) > MOST_BODY:
-                raise Malformed(413, f"body over {MOST_BODY} bytes")
+            if value.isdigit() and int(value) > self.side.most_body:
+                raise Malformed(413, f"body over {self.side.most_body} bytes")
+            self.length = int(value) if value.isdigit() else None
             if key == b"transfer-encoding" and self.parser and self.parser.get_http_version() == "1.0":
                 raise Malformed(400, "odd framing")  # RFC 9112, 6.1
         elif b"_" in key and (plain := key.replace(b"_", b"-")) in ALIASED:
@@ -288,17 +328,73 @@
         self.in_trailer = True
         if self.named.get(b"expect", b"").lower() == b"100-continue" and self.transport and not self.waiting:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        if self.pace is not None:
+            self.pace.head_is_whole(self.side.now())
+            if self.length is not None and self.length > self.side.replay:
+                self._begin_upload()
 
     def on_body(self, body: bytes) -> None:
         self.body_size += len(body)
-        if self.body_size > MOST_BODY:
-            raise Malformed(413, f"body over {MOST_BODY} bytes")
+        if self.pace is not None:
+            self.pace.came(len(body), self.side.now())
+        if self.body_size > self.side.most_body:
+            raise Malformed(413, f"body over {self.side.most_body} bytes")
+        if self.upload is not None:
+            return self.upload.feed(body)
         self.parts.append(body)
+        if self.body_size > self.side.replay:
+            self._begin_upload()
+
+    def _begin_upload(self) -> None:
+        """A body too long to be collected: its request is taken now, and it is passed on as it comes."""
+        side, parser = self.side, self.parser
+        if self.closing or parser is None or side.budget is None:
+            return
+        request = ClientRequest(self)
+        side.count_in(request, side.classes.get(self.named.get(b"x-qos", b""), -1))
+        try:
+            if len(self.waiting) >= MOST_PIPELINED:
+                raise Malformed(503, "too many requests at once")
+            if not (side.places.claim(self, side.now()) and side.budget.admits()):
+                raise Malformed(503, "no room: try again")
+            if parser.get_method() == b"GET":
+                raise Malformed(400, "GET with a body")
+            if not self.hop <= CONNECTION_OPTIONS:
+                self._drop_hop()
+            parts, self.parts = self.parts, []
+            self._read(request, parser)
+            if request.time_left <= 0:
+                raise Malformed(503, "no time left")
+        except Malformed as fault:  # what follows is still its body: answered in turn, then the end
+            side.count_out(request, fault.status)
+            raise
+        self.upload = request.upload = side.new_upload(self, self.length)
+        if self.transport is not None:
+            small_reads(self.transport)
+        side.uploading += 1
+        self.waiting.append(request)
+        side.open_traces.add(request.trace)
+        side.door.take(request)
+        for part in parts:
+            self.upload.feed(part)
+
+    def _end_upload(self, upload: Upload, request: ClientRequest) -> None:
+        """The last byte has come."""
+        assert self.parser is not None
+        self.upload = None
+        self.side.uploading -= 1
+        self.choked = False
+        request.then_close = self.closing = not self.parser.should_keep_alive()
+        upload.complete()
+        self.side.door.uploaded(request)
+        self._read_on()
 
     def on_message_complete(self) -> None:
         self.in_message, self.since, self.spoke = False, self.side.now(), True
         if self.closing or self.parser is None:
             return  # pipelined behind the last request of this connection
+        if self.upload is not None:
+            return self._end_upload(self.upload, self.waiting[-1])
         if len(self.waiting) >= MOST_PIPELINED + MOST_BEHIND:
             raise Malformed(503, "too many requests at once")
         request = ClientRequest(self)
@@ -401,6 +497,7 @@
         self.queued = 0
         request.trace, request.time_left = trace, int(min(wait, rule.deadline)) - lost
         request.is_retry = named.get(b"x-second-try", b"") == b"1"
+        request.old_http = parser.get_http_version() == "1.0"
         request.is_write = method != b"GET"
         request.head = b"".join((method, b" ", self.url, b" HTTP/1.1\r\n", *self.lines))
         request.body = b"".join(self.parts)
@@ -408,8 +505,9 @@
     # Answers
 
     def reply(self, request: ClientRequest, status: int, body: bytes, extra: bytes) -> None:
-        if request.answer or self.transport is None or self.transport.is_closing():
+        if request.answer or request.flow or self.transport is None or self.transport.is_closing():
             return  # one final answer, and none to a client that has left
+        self._done_with(request)
         if (self.side.draining or self.side.crowded()) and request is self.waiting[-1]:
             request.then_close = self.closing = True  # behind others it would take their answers along
         self.side.count_out(request, status)
@@ -419,10 +517,66 @@
             b"HTTP/1.1 %d %s\r\n" % (status, REASONS.get(status, b"Other")), length, extra,
             b"Connection: close\r\n\r\n" if request.then_close else b"\r\n",
             b"" if request.bodiless else body))
-        while self.waiting and self.waiting[0].answer:  # a connection's answers go in order
-            done = self.waiting.popleft()
-            self.transport.write(done.answer)
-            if done.then_close:
+        self.advance()
+
+    def _done_with(self, request: ClientRequest) -> None:
+        """Its answer is there: what still comes of its body is read and dropped, then the connection ends."""
+        if request.upload is None:
+            return
+        request.upload.close()
+        if self.upload is request.upload:
+            self.upload, self.choked = None, False
+            self.side.uploading -= 1
+            request.then_close = self.closing = self.broken = True
+            self.in_message = False
+
+    def flow(
+        self, request: ClientRequest, length: int | None, kind: bytes, on_over: Callable[[], None],
+    ) -> Outflow | None:
+        """Pass an answer on as it comes; None where it cannot be."""
+        budget = self.side.budget
+        if budget is None or not budget.admits() or self.transport is None or self.transport.is_closing():
+            return None
+        if request.answer or request.flow:
+            return None
+        self._done_with(request)
+        if self.side.draining and request is self.waiting[-1]:
+            request.then_close = self.closing = True
+        old = request.old_http
+        if length is None and old:
+            request.then_close = True  # its end is the connection's
+            self.closing = self.closing or request is self.waiting[-1]
+        framing = b"Content-Length: %d\r\n" % length if length is not None else (
+            b"" if old else b"Transfer-Encoding: chunked\r\n")
+        head = b"".join((
+            b"HTTP/1.1 200 OK\r\n", framing, b"Content-Type: " + kind + b"\r\n" if kind else b"",
+            b"Connection: close\r\n\r\n" if request.then_close else b"\r\n"))
+        self.side.open_traces.discard(request.trace)
+        request.flow = made = self.side.new_flow(request, head, length is None and not old, on_over)
+        self.advance()  # it may be its turn
+        return made
+
+    def break_off(self, request: ClientRequest) -> None:
+        """An answer that has begun cannot be ended: the connection is, so that it is seen not to be whole."""
+        self.side.count_out(request, 502)
+        self.closing = True
+        if self.transport is not None:
+            self.transport.abort()
+
+    def advance(self) -> None:
+        """A connection's answers go in order."""
+        while self.waiting and self.transport is not None and not self.transport.is_closing():
+            first = self.waiting[0]
+            if first.flow is not None:
+                if not first.flow.open():
+                    return
+                self.side.count_out(first, 200)
+            elif first.answer:
+                self.transport.write(first.answer)
+            else:
+                break
+            self.waiting.popleft()
+            if first.then_close:
                 return self._linger() if self.broken else self._close()
         self.since = self.side.now()
         if self.is_idle():
@@ -497,23 +651,40 @@
     def check(self, now: float, longest_idle: float) -> None:
         """End what takes too long."""
         if self.ends_at:
+            if self.side.budget is not None and self.transport is not None and (
+                    self.transport.get_write_buffer_size() and self._reads(now)):
+                return  # the last of a long answer, which is read slowly
             if now > self.ends_at and self.transport is not None:
                 self.transport.abort()  # it neither reads what it is owed nor closes
+        elif self.full and self.side.budget is not None and self._reads(now):
+            return
+        elif self.choked and now - self.choked_since > self.side.unread:
+            for request in [r for r in self.waiting if r.upload is not None and r.upload is self.upload]:
+                self.side.door.give_up(request)  # its backend does not take the body
         elif self.full and now - self.full_since > (UNREAD_IN_CROWD if self.side.crowded() else UNREAD):
             if self.transport is not None:
                 self.transport.abort()
         elif self.broken or (self.in_message and not self.paused):
-            if now - self.begun > SLOW_REQUEST:
+            slow = now - self.begun > SLOW_REQUEST if self.pace is None else self.pace.is_slow(now)
+            if slow:
                 self._reject(Malformed(408, "request came too slowly"))
                 for request in [r for r in self.waiting if not r.answer]:  # what is open ahead of it ends too
                     self.side.door.give_up(request)
         elif not self.spoke and self.is_idle():
-            if now - self.since > SLOW_REQUEST:
+            if now - self.since > self.side.slow_request:
                 self.dismiss()
         elif self.is_idle() and now - self.since > longest_idle:
             self.retire()
 
 
+    def _reads(self, now: float) -> bool:
+        """Whether it has taken something since the last look, or has had little time to."""
+        unread = self.transport.get_write_buffer_size() if self.transport is not None else 0
+        if unread != self.unread:
+            self.unread, self.full_since = unread, now
+        return now - self.full_since < self.side.unread
+
+
 class ClientSide:
     """All client connections of this front door."""
 
@@ -535,6 +706,14 @@
         self.taken, self.completed, self.rejected, self.failed, self.gone = (
             [0] * len(config.classes) for _ in range(5))
         self.pending = 0
+        self.uploading = 0  # of these, with their body on the way
+        # Where long bodies are passed on (`flows.py`), else None:
+        self.budget: Budget | None = None
+        self.most_body = self.replay = MOST_BODY
+        self.slow_request, self.unread = SLOW_REQUEST, UNREAD
+        self.new_pace: Callable[[float], Pace]
+        self.new_upload: Callable[[Client, int | None], Upload]
+        self.new_flow: Callable[[ClientRequest, bytes, bool, Callable[[], None]], Outflow]
         self.listener = Listener(self.admit, loop, self.room, self.host)
 
     def count_in(self, request: ClientRequest, kind: int) -> None:
--- a/irisdeal/door/config.py
+++ b/irisdeal/door/config.py
@@ -12,6 +12,7 @@
 from cresspulley.interface import Settings
 
 Address = tuple[str, int]
+MEMORY = 192  # MB, where none is told: the most on the days that are scored (DEPLOY, Limits)
 MOST_SOCKET_PATH = 107  # bytes; unix(7): 108 with the null that ends it
 
 
@@ -37,6 +38,7 @@
     counter: Address | None
     seed: int
     sockets: int
+    memory: int  # bytes
     known: object | None
     settings: Settings
     classes: tuple[str, ...]
@@ -113,6 +115,7 @@
         counter=address(counter, "counter") if counter else None,
         seed=seed,
         sockets=int(limits.get("sockets") or 1024),
+        memory=int(float(limits.get("memory_mb") or MEMORY) * 2**20),
         known=told.get("known"),
         settings=settings,
         classes=_names(reader, "profiles", len(settings.classes)),
--- a/irisdeal/door/loop.py
+++ b/irisdeal/door/loop.py
@@ -8,9 +8,10 @@
 from typing import TYPE_CHECKING, Any
 
 from cresspulley.interface import (
-    Action, Arrival, AttemptEnded, Cancel, CloseIdle, Count, CountAnswer, Decider, Event, Fail, FetchList,
-    FollowList, ListKind, Note, Refuse, RequestEnded, Result, Send, ServerList, Wake, Woken)
-from irisdeal.door.backends import Answer, Attempt, Pool
+    Action, Arrival, AttemptEnded, BodyComplete, Cancel, CloseIdle, Count, CountAnswer, Decider, Event, Fail,
+    FetchList, FollowList, ListKind, Note, Refuse, RequestEnded, Result, Send, ServerList, StreamStarted,
+    Wake, Woken)
+from irisdeal.door.backends import Answer, Attempt, Outlet, Pool
 from irisdeal.door.clients import ClientRequest, retry_after
 from irisdeal.door.config import Address, Config
 from irisdeal.door.counter import Counter
@@ -22,6 +23,7 @@
 
 log = logging.getLogger("irisdeal.door")
 
+FAR = 1 << 50  # µs: the time of a request whose body is still on its way has not begun
 RESCUE_PAUSE = 10_000  # µs after a failed decision: one that fails each time must not spin
 
 
@@ -123,14 +125,32 @@
             left = max(1, min(left, self.drain_by - now))
         self.last_number += 1
         client.number = number = self.last_number
-        request = self.requests[number] = Open(client, now, now + left)
+        request = self.requests[number] = Open(client, now, now + (left if client.upload is None else FAR))
         if self.watch is not None:
             self.watch.took((client.customer, client.plan), client.is_retry, now)
         self.unanswered += 1
-        request.guard = self._after(left + self.settings.answer_grace, self._overdue, number)
+        uploading = client.upload is not None  # its time counts from its last byte
+        if not uploading:
+            request.guard = self._after(left + self.settings.answer_grace, self._overdue, number)
         self.post(Arrival(
             number, client.customer, client.plan, client.kind, left, client.units, client.first,
-            client.gateways, client.is_retry, client.is_write, len(client.head) + len(client.body)))
+            client.gateways, client.is_retry, client.is_write, len(client.head) + len(client.body),
+            uploading))
+
+    def uploaded(self, client: ClientRequest) -> None:
+        """The last byte of its body has come: from now its time counts."""
+        request = self.requests.get(client.number)
+        if request is None or request.final:
+            return
+        now, left = self.clock.now(), client.time_left
+        if self.drain_by:
+            left = max(1, min(left, self.drain_by - now))
+        request.taken, request.gives_up = now, now + left
+        request.guard = self._after(left + self.settings.answer_grace, self._overdue, client.number)
+        for attempt in request.attempts:
+            if not attempt.done:
+                attempt.sent, attempt.timer = now, self._after(left, attempt.time_out)
+        self.post(BodyComplete(client.number, left))
 
     def gone(self, client: ClientRequest) -> None:
         """The client left; attempts that are out go on and still count as out."""
@@ -184,6 +204,25 @@
             self._final(number, request)
             self.post(RequestEnded(number))
 
+    def _stream(self, attempt: Attempt, answer: Answer, length: int | None) -> Outlet | None:
+        """An answer is to be passed on as it comes: there is no further attempt from here on."""
+        request = self.requests[attempt.request]
+        if request.final or attempt.done:
+            return None
+        client = request.client
+        flow = client.where.flow(client, length, answer.content_type, self._flow_over)
+        if flow is not None:
+            if attempt.timer is not None:
+                attempt.timer.cancel()  # what flows is not cut
+            attempt.took = self.clock.now() - attempt.sent
+            self.unanswered += 1  # until the flow is over
+            self._final(attempt.request, request)
+            self.post(StreamStarted(attempt.request, attempt.number, attempt.server, attempt.took))
+        return flow
+
+    def _flow_over(self) -> None:
+        self.unanswered -= 1
+
     def _final(self, number: int, request: Open) -> None:
         request.final = True
         if request.guard is not None:
@@ -237,13 +276,20 @@
             left = min(left, action.timeout)
         if request.final or place is None or left <= 0 or attempt.number >= self.settings.max_attempts:
             return attempt.finish(Result.NOT_SENT)
-        client = request.client
-        attempt.address = place
+        client, upload = request.client, request.client.upload
+        if upload is not None and upload.spent:
+            return attempt.finish(Result.NOT_SENT)  # its first bytes are gone
+        attempt.address, attempt.body, attempt.on_stream = place, upload, self._stream
         length = b"Content-Length: %d\r\n" % len(client.body) if client.is_write else b""
+        if upload is not None:
+            length = b"Transfer-Encoding: chunked\r\n" if upload.length is None else (
+                b"Content-Length: %d\r\n" % upload.length)
+            left = min(left, client.time_left)
         attempt.payload = b"".join((
             client.head, length, b"X-Expires-In: %dm\r\n\r\n" % max(1, left // 1000), client.body))
         attempt.bodiless = client.bodiless
-        attempt.timer = self._after(left, attempt.time_out)
+        if upload is None or upload.whole:
+            attempt.timer = self._after(left, attempt.time_out)
         self.pool.send(attempt)
 
     def _ended(self, attempt: Attempt, result: Result, answer: Answer | None) -> None:
@@ -258,7 +304,8 @@
         elif request.final and not request.out:
             self._over(number)
         self.post(AttemptEnded(
-            number, attempt.number, attempt.server, result, self.clock.now() - attempt.sent, request.final,
+            number, attempt.number, attempt.server, result,
+            self.clock.now() - attempt.sent if attempt.took is None else attempt.took, request.final,
             answer.usage if answer else None, None, answer.load if answer else None))
 
     def _cancel(self, action: Cancel) -> None:
@@ -293,6 +340,9 @@
 
     def _woken(self, token: int, due: int) -> None:
         now = self.clock.now()
+        if now < due:  # the loop counts from the start of its turn: a long one makes its timers early
+            self._after(due - now, self._woken, token, due)
+            return
         self.late.note((now - due) / 1e6, now / 1e6)
         self.post(Woken(token))
 
--- a/irisdeal/door/operator.py
+++ b/irisdeal/door/operator.py
@@ -218,7 +218,7 @@
         counter("gone_total", "Requests whose client left before the answer.", lambda: side.gone)
         one("upstream_requests_total", Kind.COUNTER, "Attempts written whole to backends.",
             lambda: program.pool.written)
-        one("pending", Kind.GAUGE, "Requests taken and not ended.", lambda: side.pending)
+        one("pending", Kind.GAUGE, "Requests taken and not ended.", lambda: side.pending - side.uploading)
         one("members", Kind.GAUGE, "Backends in the list.", lambda: len(self._servers()))
         one("members_unavailable", Kind.GAUGE, "Listed backends that are avoided now.", self._avoided)
         one("client_connections", Kind.GAUGE, "Connections of clients.", lambda: len(side.connections))
--- a/irisdeal/door/program.py
+++ b/irisdeal/door/program.py
@@ -99,6 +99,7 @@
             from irisdeal.door.operator import Operator
 
             self.operator = Operator(config.operator, self, CALLERS, loop)
+            self._pass_long_bodies_on(config)
         self.handover: Handover | None = None
         if config.operator is not None and (folder := self.host.folder()):
             from irisdeal.door.handover import Handover
@@ -107,6 +108,21 @@
         self.over = asyncio.Event()
         self.stopping = False
 
+    def _pass_long_bodies_on(self, config: Config) -> None:
+        from irisdeal.door.flows import Outflow, Upload
+        from irisdeal.streaming import pace
+        from irisdeal.streaming.budget import Budget
+
+        budget, side = Budget(config.memory), self.clients
+        side.budget = self.pool.budget = budget
+        self.pool.stall_time, self.pool.stream_stall = pace.PIECE, pace.ANSWER_STANDS
+        side.most_body, side.replay = pace.LONGEST, pace.REPLAY
+        side.slow_request, side.unread = pace.HEAD, pace.ANSWER_STANDS
+        side.new_pace = pace.Pace
+        side.new_upload = lambda client, length: Upload(client, length, budget)
+        side.new_flow = lambda request, head, chunked, on_over: Outflow(
+            request, head, chunked, budget, on_over)
+
     def start(self) -> None:
         """Listen, and watch the list."""
         shared = self.handover.settle() if self.handover is not None else None
--- a/irisdeal/queueing/fair.py
+++ b/irisdeal/queueing/fair.py
@@ -92,9 +92,6 @@
         self.key, self.band, self.held = key, band, False
         self.entries: OrderedDict[Entry[T], None] = OrderedDict()
 
-    def __len__(self) -> int:
-        return len(self.entries)
-
 
 class FairQueue(Generic[T]):
     """All that waits at one door."""
@@ -121,9 +118,6 @@
         self.entries = self.bytes = 0
         self.given_way = 0  # entries that a bound has cost so far
 
-    def __len__(self) -> int:
-        return self.entries
-
     @property
     def flows(self) -> int:
         """Stores' queues in memory, idle ones among them."""
--- a/irisdeal/quota/account.py
+++ b/irisdeal/quota/account.py
@@ -69,8 +69,6 @@
         self.mine, self.mine_at, self.owed = 0.0, now, 0.0
         self.untold, self.untold_at = 0.0, now  # drawn here while the keeper was silent
 
-    # What is known
-
     def ask(self, weight: float, now: int) -> None:
         """A try has come here."""
         self.mine, self.mine_at = self.mine * math.exp((self.mine_at - now) / (LONG * SECOND)) + weight, now
@@ -116,8 +114,6 @@
             room = ROOM * self.rate * LONG + LEFT * store
         return max(0.0, 1.0 - room / asked)
 
-    # Calls
-
     def _call(self, purpose: Purpose, index: int, quanta: int, **more: float) -> Call:
         return Call(purpose, (self.key << 24) | (index % 2**24), float(ASKED_FULL * quanta),
                     int(LIVES * self.epoch), index, quanta, **more)
--- a/tests/test_fair_queue.py
+++ b/tests/test_fair_queue.py
@@ -201,7 +201,7 @@
     for n in range(95):
         _, gone = put(q, f"quiet{n}")
         assert all(store == "greedy" for store, _ in gone)
-    assert len(q) == 100 and q.given_way == 85
+    assert q.entries == 100 and q.given_way == 85
     _, gone = put(q, "greedy", 99)
     assert gone == [("greedy", 99)]  # its own newest
 
@@ -233,7 +233,7 @@
                 q.remove(entry)
             waiting.clear()
         heaps = [len(node.heap) for node in (*q.bands, *(p for plans in q._plans for p in plans.values()))]
-        assert len(q) <= 200 and q.flows <= 302 and max(heaps) <= 2 * 200 + STALE + 2
+        assert q.entries <= 200 and q.flows <= 302 and max(heaps) <= 2 * 200 + STALE + 2
 
 
 def test_departures_without_any_service_leave_no_places_behind() -> None:
@@ -279,7 +279,7 @@
             waiting.append(entry)
             flow = flow_of(entry)
             assert flow.parent is not None
-            if len(flow) == 1 and flow.start == flow.parent.virtual:
+            if len(flow.entries) == 1 and flow.start == flow.parent.virtual:
                 behind[entry] = defaultdict(int)
         elif kind == "serve" and (best := q.head()) is not None:
             flow = flow_of(best)
@@ -304,7 +304,7 @@
             else:
                 q.free(flow)
         able = [e for e in waiting if not flow_of(e).held]
-        assert (q.head() is not None) == bool(able) and len(q) == len(waiting)
+        assert (q.head() is not None) == bool(able) and q.entries == len(waiting)
     assert all(order == sorted(order) for order in orders.values())
 
 
@@ -364,8 +364,8 @@
         ready[s] = begins + cost / parts[s]
         expected.append(begins)
     q, clock, place = queue(), 0.0, 0
-    while place < len(arrivals) or len(q):
-        if not len(q) and arrivals[place][0] > clock:
+    while place < len(arrivals) or q.entries:
+        if not q.entries and arrivals[place][0] > clock:
             clock = arrivals[place][0]
             q.rest()
         while place < len(arrivals) and arrivals[place][0] <= clock:
--- /dev/null
+++ b/tests/test_streaming.py
@@ -0,0 +1,429 @@
+"""Long bodies and slow peers: the pure rules, and bodies both ways through a running door."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import hashlib
+import random
+import socket
+from typing import Any
+
+import pytest
+
+from cresspulley.interface import Action, Arrival, AttemptEnded, BodyComplete, Refuse, Result, Send
+from irisdeal.streaming.budget import LEAST, MOST, READ, Budget
+from irisdeal.streaming.pace import HEAD, RATE, STAND, Pace
+from tests.desk import CEILED, MS, SECOND, Desk, of
+from tests.peers import (
+    Peer, Running, answer, ask, config, member, read_message, running, socket_test, whole_list)
+from tests.test_operator import OPERATOR, figures
+
+LONG = 1_000_000
+
+# Pure rules
+
+
+def test_parts_are_bounded_and_all_together_stay_within_the_budget() -> None:
+    budget = Budget(80 << 20)
+    while budget.admits():
+        budget.enter()
+        assert LEAST <= budget.part() <= MOST
+        assert budget.streams * (budget.part() + READ) <= budget.most
+    assert budget.streams > 100
+    for _ in range(budget.streams):
+        budget.leave()
+    with pytest.raises(ValueError, match="no stream"):
+        budget.leave()
+
+
+def test_a_head_has_its_time_and_a_body_may_be_slow_but_not_stand() -> None:
+    pace = Pace(10.0)
+    assert not pace.is_slow(10.0 + HEAD) and pace.is_slow(10.1 + HEAD)
+    pace.head_is_whole(12.0)
+    now = 12.0
+    for _ in range(200):  # 64 kB a second, for long
+        now += 0.5
+        pace.came(32_000, now)
+        assert not pace.is_slow(now)
+    assert not pace.is_slow(now + STAND) and pace.is_slow(now + STAND + 0.1)
+    slow = Pace(0.0)
+    slow.head_is_whole(0.0)
+    times = [n * 0.1 for n in range(1, 200)]
+    for at in times:
+        slow.came(int(RATE / 40), at)
+    assert slow.is_slow(times[-1])  # it trickles
+    read = Pace(0.0)
+    read.head_is_whole(0.0)
+    read.came(1000, 0.1)
+    read.read_on(60.0)  # it was not read for a minute
+    assert not read.is_slow(60.0 + STAND - 0.2)
+
+
+# The module
+
+
+def test_the_time_of_a_body_on_its_way_counts_from_its_last_byte() -> None:
+    desk = Desk()
+    [send] = of(Send, desk.give(Arrival(1, 7, 0, 0, SECOND, 1.0, 0, 1, uploading=True)))
+    for _ in range(50):  # ten seconds: no time-out, no second copy, no mark against the server
+        desk.now += 200 * MS
+        assert not any(isinstance(action, Refuse | Send) for action in desk.give())
+    assert not desk.gateway.servers[send.server].bad[None]
+    desk.give(BodyComplete(1, SECOND))
+    seen = list[Action]()
+    for _ in range(12):
+        desk.now += 100 * MS
+        seen += desk.give()
+    assert {type(a) for a in seen} >= {Send, Refuse}  # a second copy, and in the end its answer
+
+
+def test_a_request_that_is_not_sent_with_its_body_on_the_way_is_refused_in_time() -> None:
+    desk = Desk(servers=0)
+    desk.give(Arrival(1, 7, 0, 0, SECOND, 1.0, 0, 1, uploading=True))
+    seen = list[Action]()
+    for _ in range(10):
+        desk.now += 100 * MS
+        seen += desk.give()
+    assert [a.request for a in of(Refuse, seen)] == [1]
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_units_that_count_at_the_last_byte_keep_the_ceiling(seed: int) -> None:
+    """Bodies that take up to ten seconds, so that many come to an end at once, beside short requests."""
+    chance, desk = random.Random(seed), Desk(seed=seed, counter=False)
+    plan = desk.settings.plans[CEILED]
+    counted: list[tuple[int, float]] = []
+    due: list[tuple[int, int, bytes]] = []
+    end = desk.now + 20 * SECOND
+    burst = desk.now + 10 * SECOND
+    while desk.now < end:
+        desk.now += 20 * MS
+        number, desk.next_request = desk.next_request, desk.next_request + 1
+        long = chance.random() < 0.5 and desk.now < burst
+        actions = desk.give(Arrival(number, 5, CEILED, 0, SECOND, 1.0, 0, 2, uploading=long))
+        for action in of(Send, actions):
+            if long and action.request == number:
+                due.append((burst + chance.randrange(SECOND // 10), number, action.server))
+            else:
+                counted.append((desk.now, 1.0))
+                desk.give(AttemptEnded(action.request, 0, action.server, Result.OK, 3 * MS, True))
+        for at, late, server in [d for d in due if d[0] <= desk.now]:
+            due.remove((at, late, server))
+            counted.append((desk.now, 1.0))
+            desk.give(BodyComplete(late, SECOND))
+            desk.give(AttemptEnded(late, 0, server, Result.OK, 3 * MS, True))
+    assert len(counted) > 20
+    rate, most = plan.ceiling_rate / 2, plan.ceiling_depth / 2
+    for start, _ in counted:
+        for length in (SECOND // 10, SECOND, 4 * SECOND):
+            passed = sum(units for at, units in counted if start <= at <= start + length)
+            assert passed <= most + rate * length / SECOND + 1.0
+
+
+# Through a door
+
+
+def body_of(size: int, seed: int = 1) -> bytes:
+    return random.Random(seed).randbytes(size)
+
+
+async def read_answer(reader: asyncio.StreamReader) -> tuple[str, dict[str, str], bytes]:
+    """One answer in any framing."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+    headers = {k.strip().lower(): v.strip() for k, _, v in (line.partition(":") for line in head[1:] if line)}
+    if "content-length" in headers:
+        return head[0], headers, await reader.readexactly(int(headers["content-length"]))
+    if headers.get("transfer-encoding") != "chunked":
+        return head[0], headers, await reader.read()
+    parts = []
+    while size := int((await reader.readuntil(b"\r\n")).split(b";")[0], 16):
+        parts.append(await reader.readexactly(size))
+        await reader.readexactly(2)
+    await reader.readuntil(b"\r\n")
+    return head[0], headers, b"".join(parts)
+
+
+def chunks(data: bytes, sizes: random.Random, most: int) -> bytes:
+    made, at = [], 0
+    while at < len(data):
+        part = data[at:at + sizes.randint(1, most)]
+        at += len(part)
+        made.append(b"%x;note=%d\r\n%b\r\n" % (len(part), at, part))
+    return b"".join([*made, b"0\r\nX-Never-Ran: 1\r\n\r\n"])
+
+
+def framed(data: bytes, how: str) -> bytes:
+    if how == "length":
+        return answer(200, data)
+    if how == "close":
+        return b"HTTP/1.1 200 OK\r\n\r\n" + data
+    if how == "old":
+        return b"HTTP/1.0 200 OK\r\n\r\n" + data
+    return b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks(data, random.Random(3), 70_000)
+
+
+async def in_pieces(writer: asyncio.StreamWriter, data: bytes, seed: int, most: int) -> None:
+    sizes, at = random.Random(seed), 0
+    while at < len(data):
+        size = sizes.randint(1, most)
+        writer.write(data[at:at + size])
+        at += size
+        await writer.drain()
+        await asyncio.sleep(0)
+
+
+def one_backend(port: int) -> dict[str, Any]:
+    return {"operator": OPERATOR, "known": whole_list(member("s-1", port))}
+
+
+@pytest.mark.parametrize("how", ["length", "close", "old", "chunked"])
+@pytest.mark.parametrize(("size", "most"), [(100, 7), (60_000, 9_000), (LONG, 50_000), (LONG, LONG)])
+def test_answers_of_any_form_and_size_go_through_in_any_pieces(how: str, size: int, most: int) -> None:
+    @socket_test
+    async def run() -> None:
+        data = body_of(size)
+        async with Peer() as backend, running(**one_backend(backend.port)) as door:
+            reader, writer = await door.client()
+            for trace in ("a1", "a2"):
+                writer.write(ask(trace=trace))
+                from_door, to_door = await backend.connection()
+                await read_message(from_door)
+                sending = asyncio.create_task(in_pieces(to_door, framed(data, how), size, most))
+                sending.add_done_callback(lambda _, to_door=to_door: to_door.close())  # type: ignore[misc]
+                line, headers, got = await read_answer(reader)
+                assert line == "HTTP/1.1 200 OK" and got == data
+                assert ("content-length" in headers) is (how == "length" or size <= 65_536)
+                await sending
+            told = await figures(door)
+            assert told['edge_completed_total{lane="look"}'] == 2 and told["edge_pending"] == 0
+            assert door.program.clients.budget is not None and door.program.clients.budget.streams == 0
+            assert door.program.door.unanswered == 0 and not door.program.door.requests
+
+    run()
+
+
+def upload(data: bytes, form: str, trace: str = "u1") -> bytes:
+    if form == "length":
+        return ask("file", trace, Content_Length=str(len(data))) + data
+    head = ask("file", trace, Content_Length=None, Transfer_Encoding="chunked")
+    return head + chunks(data, random.Random(5), 60_000)
+
+
+async def read_upload(reader: asyncio.StreamReader) -> tuple[dict[str, str], bytes]:
+    _, headers, data = await read_answer(reader)  # a request is framed alike
+    return headers, data
+
+
+@pytest.mark.parametrize("form", ["length", "chunked"])
+@pytest.mark.parametrize(("size", "most"), [(100_000, 9_000), (LONG, 50_000), (2 * LONG, LONG)])
+def test_bodies_of_any_form_go_through_in_any_pieces(form: str, size: int, most: int) -> None:
+    @socket_test
+    async def run() -> None:
+        data = body_of(size)
+        async with Peer() as backend, running(**one_backend(backend.port)) as door:
+            reader, writer = await door.client()
+            sending = asyncio.create_task(in_pieces(writer, upload(data, form), size, most))
+            from_door, to_door = await backend.connection()
+            headers, got = await read_upload(from_door)
+            assert (headers["x-trace-id"], got) == ("u1", data)
+            assert (await figures(door))["edge_upstream_requests_total"] == 1
+            to_door.write(answer(200, b"filed"))
+            assert (await read_message(reader))[2] == b"filed"
+            await sending
+            writer.write(ask(trace="a2"))  # the connection is good for more
+            from_door, to_door = await backend.connection() if to_door.is_closing() else (from_door, to_door)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(0.3):
+                    await read_message(from_door)
+            assert door.program.clients.budget is not None and door.program.clients.budget.streams == 0
+
+    run()
+
+
+@socket_test
+async def test_nothing_is_read_ahead_of_a_client_that_does_not_read() -> None:
+    async with Peer() as backend, running(**one_backend(backend.port)) as door:
+        reader, writer = await door.client()
+        writer.transport.pause_reading()  # type: ignore[attr-defined]
+        writer.write(ask())
+        from_door, to_door = await backend.connection()
+        await read_message(from_door)
+        data = body_of(16 * LONG)
+        sending = asyncio.create_task(in_pieces(to_door, answer(200, data), 3, LONG))
+        client = None
+        while client is None or not client.full:
+            await asyncio.sleep(0.005)
+            client = next(iter(door.program.clients.connections))
+        await asyncio.sleep(0.1)
+        assert client.transport is not None
+        assert client.transport.get_write_buffer_size() <= MOST + 2 * READ
+        assert not sending.done()
+        writer.transport.resume_reading()  # type: ignore[attr-defined]
+        assert hashlib.sha256((await read_answer(reader))[2]).digest() == hashlib.sha256(data).digest()
+        await sending
+
+
+@socket_test
+async def test_an_answer_that_breaks_off_is_seen_not_to_be_whole() -> None:
+    async with Peer() as backend, running(**one_backend(backend.port)) as door:
+        for how in ("length", "chunked"):
+            reader, writer = await door.client()
+            writer.write(ask(trace=how))
+            from_door, to_door = await backend.connection()
+            await read_message(from_door)
+            to_door.write(framed(body_of(LONG), how)[:LONG // 2])
+            await reader.readuntil(b"\r\n\r\n")
+            to_door.transport.abort()
+            with pytest.raises((asyncio.IncompleteReadError, ConnectionResetError)):
+                await reader.readexactly(LONG)
+            assert backend.accepted.empty()  # no further attempt
+        told = await figures(door)
+        assert told['edge_failed_total{lane="look"}'] == 2 and told["edge_pending"] == 0
+
+
+@socket_test
+async def test_a_client_that_leaves_ends_what_flows_to_it() -> None:
+    async with Peer() as backend, running(**one_backend(backend.port)) as door:
+        reader, writer = await door.client()
+        writer.write(ask())
+        from_door, to_door = await backend.connection()
+        await read_message(from_door)
+        to_door.write(answer(200, body_of(LONG))[:LONG // 2])
+        await reader.readuntil(b"\r\n\r\n")
+        writer.transport.abort()
+        with contextlib.suppress(ConnectionResetError):
+            await from_door.read()
+        while door.program.door.requests:
+            await asyncio.sleep(0)
+        assert door.program.door.unanswered == 0 and (await figures(door))["edge_pending"] == 0
+
+
+@socket_test
+async def test_a_body_whose_client_leaves_half_way_never_ran() -> None:
+    async with Peer() as backend, running(**one_backend(backend.port)) as door:
+        _, writer = await door.client()
+        writer.write(upload(body_of(LONG), "length")[:LONG // 2])
+        from_door, _ = await backend.connection()
+        await from_door.readuntil(b"\r\n\r\n")
+        writer.transport.abort()
+        with contextlib.suppress(ConnectionResetError):
+            await from_door.read()
+        told = await figures(door)
+        assert told["edge_upstream_requests_total"] == 0 and told["edge_pending"] == 0
+
+
+@socket_test
+async def test_a_body_that_was_passed_on_is_not_sent_again_and_its_client_hears_so() -> None:
+    async with Peer() as backend, running(**one_backend(backend.port)) as door:
+        reader, writer = await door.client()
+        writer.write(upload(body_of(LONG), "length")[:LONG // 2])
+        from_door, to_door = await backend.connection()
+        await from_door.readexactly(LONG // 3)
+        to_door.transport.abort()
+        line, headers, _ = await read_message(reader)
+        assert line.split()[1] in ("429", "503") and headers["connection"] == "close"  # it never ran
+        writer.write(b"x" * 1000)
+        assert backend.accepted.empty()
+
+
+@socket_test
+async def test_a_body_that_is_refused_is_answered_at_once() -> None:
+    async with running(operator=OPERATOR, known=whole_list()) as door:
+        reader, writer = await door.client()
+        writer.write(upload(body_of(LONG), "length")[:300_000])
+        line, headers, _ = await read_message(reader)
+        assert line.split()[1] in ("429", "503") and headers["connection"] == "close"
+
+
+@socket_test
+async def test_a_request_behind_a_long_answer_waits_for_its_turn() -> None:
+    async with Peer() as backend, running(**one_backend(backend.port)) as door:
+        reader, writer = await door.client()
+        writer.write(ask(trace="a1"))
+        first, to_first = await backend.connection()
+        await read_message(first)
+        writer.write(ask(trace="a2"))
+        second, to_second = await backend.connection()
+        await read_message(second)
+        two = body_of(LONG, 2)
+        sending = asyncio.create_task(in_pieces(to_second, answer(200, two), 3, LONG))
+        await asyncio.sleep(0.05)
+        to_first.write(answer(200, b"one"))
+        assert (await read_answer(reader))[2] == b"one"
+        assert (await read_answer(reader))[2] == two
+        await sending
+
+
+@socket_test
+async def test_an_old_client_gets_an_answer_of_unknown_length_to_its_end() -> None:
+    async with Peer() as backend, running(**one_backend(backend.port)) as door:
+        reader, writer = await door.client()
+        writer.write(ask().replace(b"HTTP/1.1", b"HTTP/1.0"))
+        from_door, to_door = await backend.connection()
+        await read_message(from_door)
+        data = body_of(LONG)
+        to_door.write(framed(data, "chunked"))
+        _, headers, got = await read_answer(reader)
+        assert got == data and "transfer-encoding" not in headers and headers["connection"] == "close"
+
+
+@socket_test
+async def test_a_slow_head_and_a_slow_answer_are_waited_for() -> None:
+    async with Peer() as backend, running(**one_backend(backend.port)) as door:
+        reader, writer = await door.client()
+        text = ask()
+        for at in range(0, len(text), len(text) // 8 + 1):
+            writer.write(text[at:at + len(text) // 8 + 1])
+            await asyncio.sleep(0.22)  # 1.8 s in all
+        from_door, to_door = await backend.connection()
+        await read_message(from_door)
+        made = answer(200, b"slowly")
+        to_door.write(made[:-3])
+        await asyncio.sleep(0.5)
+        to_door.write(made[-3:])
+        assert (await read_message(reader))[2] == b"slowly"
+
+
+def test_a_door_without_operators_passes_nothing_on() -> None:
+    made = config()
+    assert made.operator is None
+
+    @socket_test
+    async def run() -> None:
+        async with Peer() as backend, running(known=whole_list(member("s-1", backend.port))) as door:
+            assert door.program.clients.budget is None
+            reader, writer = await door.client()
+            writer.write(ask("file", Content_Length="100000"))
+            assert (await read_message(reader))[0].split()[1] == "413"
+
+    run()
+
+
+async def peak(door: Running) -> int:
+    return sum(c.transport.get_write_buffer_size() for c in door.program.clients.connections if c.transport)
+
+
+@pytest.mark.parametrize("streams", [1, 20, 100])
+def test_what_is_held_stays_within_the_budget_however_many_streams(streams: int) -> None:
+    @socket_test
+    async def run() -> None:
+        limits = {"sockets": 1024, "memory_mb": 80}
+        async with Peer() as backend, running(limits=limits, **one_backend(backend.port)) as door:
+            budget = door.program.clients.budget
+            assert budget is not None
+            held, whole = 0, answer(200, bytes(12 * LONG), "Connection: close\r\n")  # more than kernels hold
+            for n in range(streams):
+                _, writer = await door.client()
+                writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+                writer.transport.pause_reading()  # type: ignore[attr-defined]
+                writer.write(ask(trace=f"a{n}"))
+                from_door, to_door = await backend.connection()
+                await read_message(from_door)
+                to_door.write(whole)
+            for _ in range(20):
+                await asyncio.sleep(0.01)
+                held = max(held, await peak(door))
+            assert budget.streams == streams and 0 < held <= budget.most
+
+    run()
