Space behind a header's value is no part of it: requests with it are not malformed

Ruled out by feeding the parser every split of a head: pieces do not spoil names or values. Both sides strip it now; the test fails without.

--- a/irisdeal/door/backends.py
+++ b/irisdeal/door/backends.py
@@ -26,6 +26,7 @@
 READ = 131_072  # bytes that one read of a stream brings at most: `irisdeal.streaming.budget.READ`
 UNSENT = 65_536  # bytes of a body that may wait for a backend to read
 SOON = 0.1  # s after its head: an answer of unknown length is passed on from here
+OWS = b" \t"  # round a field's value, and no part of it (RFC 9110, 5.5)
 MOST_INTERIM = 16  # 1xx answers ahead of one that counts
 IDLE_SHARE = 0.5  # of the set idle time: a request on a connection closed meanwhile ends as a reset
 # Some close sooner: a request on a dead connection costs far more than a new connection.
@@ -402,7 +403,7 @@
             raise ValueError(f"head over {MOST_HEAD} bytes")
         if self.in_trailer:  # behind the body: no header of the answer
             return
-        key = name.lower()
+        key, value = name.lower(), value.strip(OWS)
         if key == b"content-length":
             if self.attempt is not None and self.attempt.bodiless:
                 return  # what GET would bring
--- a/irisdeal/door/clients.py
+++ b/irisdeal/door/clients.py
@@ -29,6 +29,7 @@
 log = logging.getLogger("irisdeal.clients")
 
 MOST_BODY = 65_536
+OWS = b" \t"  # round a field's value, and no part of it (RFC 9110, 5.5); the parser leaves what is behind it
 MOST_HEAD = 16_384
 MOST_PIPELINED = 4  # requests of one connection at the door, then it is read no further
 MOST_BEHIND = 64  # more that came in the same read and are turned away; then the connection ends
@@ -294,7 +295,7 @@
         self._grow(len(name) + len(value) + 4)
         if self.in_trailer:  # behind a chunked body: no header of the request
             return
-        key = name.lower()
+        key, value = name.lower(), value.strip(OWS)
         if key in SINGLE:
             if key in self.named:
                 raise Malformed(400, f"header {key.decode()} more than once")
--- a/tests/test_streaming.py
+++ b/tests/test_streaming.py
@@ -355,6 +355,17 @@
         await sending
 
 
+@socket_test
+async def test_space_behind_a_field_is_no_part_of_it() -> None:
+    async with Peer() as backend, running(**one_backend(backend.port)) as door:
+        reader, writer = await door.client()
+        writer.write(ask().replace(b"X-Qos: look\r", b"X-Qos:look \t\r").replace(b"basic\r", b"basic \r"))
+        from_door, to_door = await backend.connection()
+        await read_message(from_door)
+        to_door.write(b"HTTP/1.1 503 X\r\nX-Never-Ran: 1 \t\r\nContent-Length:  2 \r\n\r\nno")
+        assert (await read_message(reader))[0].split()[1] == "503"
+
+
 @socket_test
 async def test_an_old_client_gets_an_answer_of_unknown_length_to_its_end() -> None:
     async with Peer() as backend, running(**one_backend(backend.port)) as door:
