--- a/irisdeal/door/backends.py
+++ b/irisdeal/door/backends.py
@@ -23,7 +23,7 @@
 MOST_BODY = 65_536
 MOST_HEAD = 16_384
 MOST_STREAM = 64 << 20  # bytes of an answer that is passed on: twice the longest there are
-READ = 131_072  # bytes that one read of a stream brings at most: `irisdeal.streaming.budget.READ`
+READ = 65_536  # bytes that one read of a stream brings at most: `irisdeal.streaming.budget.READ`
 UNSENT = 65_536  # bytes of a body that may wait for a backend to read
 SOON = 0.1  # s after its head: an answer of unknown length is passed on from here
 OWS = b" \t"  # round a field's value, and no part of it (RFC 9110, 5.5)
@@ -253,8 +253,6 @@
             self._end(Result.ERROR)
             return self.drop()
         self.flow.source = self
-        if self.transport is not None:
-            small_reads(self.transport)
         for part in self.parts:
             self.flow.feed(part)
         self.parts = []
@@ -347,6 +345,8 @@
         self.transport = transport
         if self.lost or self.attempt is None:
             return self.drop()
+        if self.pool.budget is not None:
+            small_reads(transport)
         self.parser = httptools.HttpResponseParser(self)
         self.file = transport.get_extra_info("socket").fileno()
         self._write()
--- a/irisdeal/door/clients.py
+++ b/irisdeal/door/clients.py
@@ -207,6 +207,8 @@
         transport = cast(asyncio.Transport, transport)  # uvloop's is none by its type
         self.transport = transport
         self.file = transport.get_extra_info("socket").fileno()
+        if self.side.budget is not None:
+            small_reads(transport)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.closing = True
@@ -370,8 +372,6 @@
             side.count_out(request, fault.status)
             raise
         self.upload = request.upload = side.new_upload(self, self.length)
-        if self.transport is not None:
-            small_reads(self.transport)
         side.uploading += 1
         self.waiting.append(request)
         side.open_traces.add(request.trace)
--- a/irisdeal/door/flows.py
+++ b/irisdeal/door/flows.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from irisdeal.streaming.budget import Budget
+from irisdeal.streaming.budget import LEAST, Budget
 from irisdeal.streaming.pace import REPLAY
 
 if TYPE_CHECKING:
@@ -31,13 +31,12 @@
     def __init__(
         self, request: ClientRequest, head: bytes, chunked: bool, budget: Budget, on_over: Callable[[], None],
     ) -> None:
-        self.request, self.client, self.chunked, self.budget = request, request.where, chunked, budget
+        self.request, self.client, self.chunked, self.loan = request, request.where, chunked, budget.enter()
         self.on_over = on_over
         self.source: Backend | None = None
         self.parts: list[bytes] = [head]  # until it is this answer's turn on its connection
         self.waiting = 0  # bytes of it
         self.opened = self.ended = self.over = False
-        budget.enter()
 
     def feed(self, data: bytes) -> None:
         if self.over or self.ended or not data:
@@ -49,14 +48,17 @@
         else:
             self.parts.append(data)
             self.waiting += len(data)
-            if self.waiting > self.budget.part() and self.source is not None:
-                self.source.hold()
+            self._feed_on(self.waiting)
 
     def _write(self, data: bytes) -> None:
-        if self.client.transport is not None:
-            self.client.transport.write(data)
-            if self.client.full and self.source is not None:
-                self.source.hold()
+        if (transport := self.client.transport) is not None:
+            transport.write(data)
+            if self.client.full:
+                self._feed_on(transport.get_write_buffer_size())
+
+    def _feed_on(self, held: int) -> None:
+        if self.source is not None and not self.loan.allows(held):
+            self.source.hold()
 
     def end(self) -> None:
         """The backend's answer is whole."""
@@ -88,15 +90,11 @@
             return False
         if not self.opened:
             self.opened = True
-            part = self.budget.part()
-            transport.set_write_buffer_limits(high=part, low=part // 4)
+            transport.set_write_buffer_limits(high=LEAST)
             parts, self.parts, self.waiting = self.parts, [], 0
             transport.writelines(parts)
-            if self.source is not None:
-                if self.client.full:
-                    self.source.hold()
-                else:
-                    self.source.release()
+            if self.source is not None and self.loan.allows(transport.get_write_buffer_size()):
+                self.source.release()
         if self.ended:
             transport.set_write_buffer_limits()
             self._finish()
@@ -119,7 +117,7 @@
     def _finish(self) -> None:
         self.over = True
         self.parts = []
-        self.budget.leave()
+        self.loan.end()
         self.on_over()
 
 
@@ -128,21 +126,20 @@
 
     def __init__(self, client: Client, length: int | None, budget: Budget) -> None:
         """`length` is None for chunks."""
-        self.client, self.length, self.budget = client, length, budget
+        self.client, self.length, self.loan = client, length, budget.enter()
         self.parts: list[bytes] = []  # from the first byte, or what has not been passed on once `spent`
         self.next = 0  # of the parts: the first that the sink has not had
-        self.unsent = 0  # bytes from there on
+        self.held = 0  # bytes of all parts
         self.size = 0  # bytes that have come
         self.whole = self.spent = self.over = False
         self.sink: Backend | None = None
-        budget.enter()
 
     def feed(self, data: bytes) -> None:
         if self.over or not data:
             return
         self.size += len(data)
         self.parts.append(chunk(data) if self.length is None else data)
-        self.unsent += len(data)
+        self.held += len(self.parts[-1])
         self.pour()
 
     def complete(self) -> None:
@@ -154,32 +151,31 @@
         if self.spent:
             raise ValueError("the body has been passed on already")
         self.sink, self.next = sink, 0
-        self.unsent = sum(map(len, self.parts))
         self.pour()
 
     def detach(self, sink: Backend) -> None:
         if self.sink is sink:
             self.sink = None
-            if not self.spent:
-                self.next, self.unsent = 0, sum(map(len, self.parts))
+            self.next = 0
 
     def pour(self) -> None:
         """Pass on what may be, and read on or not."""
         sink = self.sink
         while sink is not None and self.next < len(self.parts) and not sink.choked:
-            part = self.parts[self.next]
+            sink.put(self.parts[self.next])
             self.next += 1
-            self.unsent -= len(part)
-            sink.put(part)
-        if self.next and self.size > REPLAY:
+        may_hold = self.loan.allows(self.held)
+        if self.next and (self.size > REPLAY or not may_hold):
+            self.held -= sum(map(len, self.parts[:self.next]))
             del self.parts[:self.next]
             self.next, self.spent = 0, True
+            may_hold = self.loan.allows(self.held)
         if sink is not None and self.whole and self.next == len(self.parts):
             sink.end_body(LAST_CHUNK if self.length is None else b"")
-        self.client.choke(not (self.whole or self.over) and self.unsent > self.budget.part())
+        self.client.choke(not (self.whole or self.over or may_hold))
 
     def close(self) -> None:
         """Its request has ended, or its body has been passed on for good."""
         if not self.over:
             self.over, self.parts, self.sink = True, [], None
-            self.budget.leave()
+            self.loan.end()
