Cold backends are budgeted by the service time that is learnt, at any fleet

Lines at fault: a cold backend's budget was charged max(usual, first guess), 250 to 480 ms a request, where the backends tell 60 to 130 ms of service; only doors of many learnt it. Ruled out: bans (they hold and end on time), handover (no request lost, windows carried over), the window of attempts (far above what is out).

--- a/cresspulley/control.py
+++ b/cresspulley/control.py
@@ -265,14 +265,15 @@
         part = max(0, self.now - server.entry.started) / max(1, self.settings.warm_up)
         return min(1.0, self.settings.start_capacity + (1.0 - self.settings.start_capacity) * part)
 
+    def _cold_work(self) -> float:  # learnt: by the first guess, which is high, a fleet leaves the cold idle
+        return min(self.first_work, max(LEAST_WORK, self.service)) if self.service else self.first_work
+
     def _fits_cold(self, server: Server, warmth: float) -> bool:
         """Our part of what a cold server may be sent, taken to have one core: even, or by turns."""
-        s, work, rate = self.settings, self.first_work, COLD_MARGIN * self.settings.fall_multiple
+        s, work, rate = self.settings, self._cold_work(), COLD_MARGIN * self.settings.fall_multiple
         if (budget := rate * warmth * s.fall_window / s.gateways) >= work:
             return work + sum(w for at, w in server.sent if at > self.now - s.fall_window) <= budget
         # All gateways number the turns alike; ours stays open for half a window, so turns are as much fewer.
-        # What one is worth is learnt: by the first guess, which is high, a fleet would leave it idle.
-        work = min(work, max(LEAST_WORK, self.service)) if self.service else work
         turn = int(rate / 1.5 * (s.start_capacity + warmth) / 2 * (self.now - server.entry.started) / work)
         behind = (turn - s.rank - int.from_bytes(server.entry.server)) % s.gateways
         ago = behind * work * 1.5 / (rate * warmth)
@@ -481,7 +482,7 @@
         self.out, self.last_sent = self.out + 1, self.now
         usual = self.usual[request.kind]
         if self._warmth(server) < 1.0:
-            server.sent.append((self.now, max(usual, self.first_work)))
+            server.sent.append((self.now, self._cold_work()))
             server.turned = server.turn
         self.actions.append(Send(request.id, server.entry.server))
         self._plan(self.now + int(PATIENCE * usual), self._overdue, (request, attempt))
@@ -555,7 +556,7 @@
         if load := event.load:
             told = load.in_hand if load.in_hand is not None else (load.waiting or 0.0) + (load.busy or 0.0)
             server.others, server.told_at = max(0.0, told - server.out), self.now
-            if self.many and load.service_ms and self._warmth(server) >= 1.0:
+            if load.service_ms and self._warmth(server) >= 1.0:
                 took = load.service_ms * 1000.0
                 self.service += LEARN * (took - self.service) if self.service else took
         if event.ended or request.ended:
