An attempt decided as its request ends no longer stays out for good in the books

The module hears the break first and tries again, then the end; Door._send dropped the attempt, so the module never heard of it and counted it out for good, at its server, its customer and in the window. Ruled out: claims and a second enqueue, by reading each path to _enqueue.

--- a/irisdeal/door/loop.py
+++ b/irisdeal/door/loop.py
@@ -65,6 +65,7 @@
         if config.counter is not None:
             self.counter = Counter(config.counter, self.settings.counter_timeout, self.post, loop)
         self.requests: dict[int, Open] = {}
+        self.just_over: dict[int, int] = {}  # requests that left it since the last turn, and their attempts
         self.unanswered = 0
         self.last_number = 0
         self.places: dict[bytes, Address] = {}
@@ -107,6 +108,7 @@
                 self._apply(action)
             except Exception:  # guards the others: one action's failure is its own
                 log.exception("%r failed", action)
+        self.just_over.clear()
 
     def _rescue(self, events: Batch) -> list[Action]:
         """One event failed: its request fails, what was decided before it stands, the rest goes on."""
@@ -236,6 +238,7 @@
 
     def _over(self, number: int) -> None:
         if (request := self.requests.pop(number, None)) is not None:
+            self.just_over[number] = len(request.attempts)
             self.on_over(request.client)
 
     def drain(self, by: int) -> None:
@@ -263,7 +266,7 @@
     def _send(self, action: Send) -> None:
         request = self.requests.get(action.request)
         if request is None:
-            return log.error("an attempt for request %d, which is not open", action.request)
+            return self._too_late(action)
         now = self.clock.now()
         attempt = Attempt(action.request, len(request.attempts), action.server, now, self._ended)
         request.attempts.append(attempt)
@@ -292,6 +295,14 @@
             attempt.timer = self._after(left, attempt.time_out)
         self.pool.send(attempt)
 
+    def _too_late(self, action: Send) -> None:
+        """Its request ended in the turn in which the module decided this: it was out in its books alone."""
+        number = self.just_over.get(action.request)
+        if number is None:
+            return log.error("an attempt for request %d, which is not open", action.request)
+        self.just_over[action.request] = number + 1
+        self.post(AttemptEnded(action.request, number, action.server, Result.NOT_SENT, 0, True))
+
     def _ended(self, attempt: Attempt, result: Result, answer: Answer | None) -> None:
         """An attempt's one end. The first good answer goes to the client and is final."""
         number = attempt.request
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -11,6 +11,7 @@
 import pytest
 import uvloop
 
+from cresspulley.control import Gateway
 from cresspulley.interface import (
     Action, Arrival, AttemptEnded, Cancel, Event, LoadReport, RequestEnded, Result, Send)
 from irisdeal.door.backends import Attempt, Pool
@@ -437,3 +438,25 @@
         for _ in range(100):
             pool.recover()
         assert pool.keep == pool.longest
+
+
+@socket_test
+async def test_an_attempt_decided_as_its_request_ends_does_not_stay_out_for_good() -> None:
+    # A backend's break and its client's leaving heard in one turn: the module tries again, and then hears
+    # that the request has ended.
+    async with Peer() as backend:
+        known = whole_list(member("s-1", backend.port), member("s-2", backend.port))
+        async with running(known=known) as door:
+            _, to_door = await door.client()
+            to_door.write(ask())
+            await read_message((await backend.connection())[0])
+            gateway, loop = door.program.door.decider, door.program.door
+            assert isinstance(gateway, Gateway)
+            [request] = list(loop.requests.values())
+            request.attempts[0].finish(Result.CONNECTION_LOST)
+            loop.gone(request.client)
+            to_door.transport.abort()
+            await asyncio.sleep(0.05)
+            while gateway.requests or gateway.out:
+                await asyncio.sleep(0.001)
+            assert not loop.requests and all(server.out == 0 for server in gateway.servers.values())
