A door that has just begun to listen no longer takes its first burst for long in the queue

Cause: Backlog reckons the wait of a connection from when the queue was last empty, which was 0 of the loop's clock before the first look (_empty_at), so a burst at the start cost its clients all their time. Listening now sets it.

--- a/irisdeal/door/listener.py
+++ b/irisdeal/door/listener.py
@@ -66,6 +66,7 @@
             made.close()
             raise
         self.socket = made
+        self.backlog.begin(self.loop.time())
         self.loop.add_reader(made, self._accept)
 
     def adopt(self, listening: socket.socket) -> None:
@@ -73,6 +74,7 @@
         listening.setblocking(False)
         listening.listen(self.backlog.length)
         self.socket = listening
+        self.backlog.begin(self.loop.time())
         self.loop.add_reader(listening, self._accept)
 
     def suspend(self) -> None:
--- a/irisdeal/overload/backlog.py
+++ b/irisdeal/overload/backlog.py
@@ -35,6 +35,10 @@
         self._empty_at = 0.0  # when the queue was last seen empty
         self._rate = 0.0  # connections a second, as last taken while it did not empty
 
+    def begin(self, now: float) -> None:
+        """Listening begins now: nothing has waited for longer."""
+        self._empty_at = now
+
     def took(self, count: int, more: bool, now: float) -> int | None:
         """`count` connections were accepted by `now`; `more` wait. The new length, or None to leave it."""
         if not more:
