--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -11,6 +11,7 @@
 import tempfile
 from pathlib import Path
 
+from irisdeal.overload.backlog import Backlog
 from tests.peers import answer, ask, member, read_message, settings, socket_test, whole_list
 
 CLIENTS = 12
@@ -169,3 +170,10 @@
             await new.wait()
             assert service.server is not None
             service.server.close()
+
+
+def test_a_first_burst_has_waited_no_longer_than_the_door_listens() -> None:
+    backlog = Backlog()
+    backlog.begin(5000.0)  # the loop's clock does not begin with the door
+    backlog.took(64, True, 5000.02)
+    assert backlog.waited(5000.02) <= 0.021
