--- a/benchmarks/account.py
+++ b/benchmarks/account.py
@@ -24,7 +24,7 @@
 from itertools import accumulate
 from typing import Any, Protocol
 
-from irisdeal.quota.account import Account, Verdict
+from irisdeal.quota.account import Account
 from irisdeal.quota.call import Call, Purpose
 from irisdeal.quota.crowding import Crowding, Way
 
@@ -114,7 +114,7 @@
     def ask(self, one: Try, now: int) -> bool | list[Call]:
         account = self.account(one, now)
         account.ask(one.units, now)
-        if account.decide(one.units, now, self.chance.random()) is Verdict.REFUSE:
+        if account.is_vain(one.units, now, self.chance.random()):
             return False
         way = self.crowding[one.door].way(one.number > 1, self.chance.random())
         if way is Way.ASK:
--- a/cresspulley/control.py
+++ b/cresspulley/control.py
@@ -20,7 +20,7 @@
     ServerList, ServerState, Settings, Shared, StreamStarted, Wake)
 from cresspulley.records import Request, Server, Try
 from irisdeal.queueing.fair import FairQueue, Flow
-from irisdeal.quota.account import Account, Verdict
+from irisdeal.quota.account import Account
 from irisdeal.quota.call import Call
 from irisdeal.quota.crowding import Crowding, Way
 
@@ -32,7 +32,7 @@
 KNOWN_FOR, FORGOTTEN = 20_000_000, 4  # a total so old says little; customers forgotten at most for an arrival
 STRAIN_MOST, STRAIN_UP, STRAIN_DOWN = 20.0, 1.15, 0.80  # failed calls, once most fail, spare further ones
 FIRST_WORK_SHARE = 1 / 6  # a class's service time before any answer, as a share of its aim: high on purpose
-FEW_WAYS = 8  # gateways of a customer: each of more sees too little to reckon by, and claims try by try
+FEW_WAYS = 8  # gateways: each of more sees too little to reckon by, and claims try by try
 CALL_PATIENCE = 4  # counter time-outs that a claim is waited for, where a front door can: late, it counts
 STALL, NO_SERVER_PAUSE = 100_000, 20_000  # woken so late, we stood still; held requests look again after this
 LEARN, LEARN_BAD = 0.1, 0.25  # weight of a new sample: in averages; in failures, which must show fast
@@ -41,7 +41,7 @@
 GOOD_SHARE = 0.35  # an answer in this share of its aim widens the window of attempts, a later one narrows it
 WINDOW, WIDEST = 2.0, 4.0  # attempts of all for each server while half the answers are good; most times that
 FIRST_USE = 3_000_000  # doors of many draw when, in this time, each first uses one that is back by hand
-MANY_LEAST = 1.0  # usual windows that a gateway of many keeps at least
+SPARE = 2.0  # square roots of its usual window that a gateway of many keeps beside it, for its own chance
 LOOK = 16  # servers compared for a request, drawn at random: many gateways with one favourite would drown it
 FADE = 0.1  # share of a server's bad name forgotten each second unused, so that it is tried again
 # Bands of worth for the time: the window is so many times as wide for each, and they share it by this weight,
@@ -79,7 +79,7 @@
         self.total = self.mine_then = self.raw = self.base = self.credit = 0.0
         self.told_at, self.told_index, self.looks_at, self.since = -1, -1, 0, 0
         self.account = Account(self.key, plan.rate, plan.burst, self.ways, now) if (
-            settings.counter and plan.rate and self.ways > FEW_WAYS) else None
+            settings.counter and plan.rate and settings.gateways > FEW_WAYS) else None
         # An even part; a start may be a restart: half of our slack, and what has flowed in since, is ours.
         part = share * ((settings.rank - event.first_gateway) % settings.gateways < self.ways) / self.ways
         self.ceiling_rate, self.ceiling_most = plan.ceiling_rate * part / SECOND, plan.ceiling_depth * part
@@ -359,7 +359,7 @@
     def _arrival_claimed(self, request: Request, account: Account, again: bool) -> None:
         """The count decides, unless what it told before does, or it has no time."""
         account.ask(request.units, self.now)
-        if account.decide(request.units, self.now, self.random.random()) is Verdict.REFUSE:
+        if account.is_vain(request.units, self.now, self.random.random()):
             return self._answer(request)
         way = self.crowding.way(again, self.random.random())
         (self._claim if way is Way.ASK else self._go_alone if way is Way.ALONE else self._answer)(request)
@@ -526,7 +526,7 @@
         step = -min(self.window, over) if late else min(self.window, 1.0 / over)
         step = 0.0 if self.many and self._warmth(server) < 1.0 else step  # its time is no sign of a queue
         # A gateway of many hears too little to narrow far by: a few late answers are not its own doing.
-        least = MANY_LEAST * self.usual_window if self.many else LEARN
+        least = self.usual_window + SPARE * math.sqrt(self.usual_window) if self.many else LEARN
         self.window = max(least, min(max(2.0, WIDEST * self.usual_window), self.window + LEARN * step))
         self._judge(attempt, True, took / usual, None, request.customer.plan)
         self.usual[request.kind] = usual + LEARN * (min(took, 5 * usual) - usual)
@@ -620,34 +620,31 @@
         customer, call, request = calls.popleft()
         if not calls:
             del self.claims[event.name]
-        account = customer.account
+        account, live = customer.account, request if request and not request.ended else None
         assert account is not None
         if event.result is Result.OK:
             self.crowding.answered()
             first = account.heard_at < 0
             holds, more = account.answered(call, event.total, self.now)
-            waits = request if holds is None else None
-            self._tell(customer, more, waits)
+            self._tell(customer, more, request if holds is None else None)
             if first and customer.plan.ceiling_rate:
                 flood = account.total(self.now) / customer.plan.ceiling_rate
                 customer.store = max(customer.store, customer.ceiling_most * (0.5 - flood))
-            if request is None or waits:
-                return
-            if request.ended:
-                self._tell(customer, account.give_back(call, self.now) if holds else [])
-            elif holds:
-                request.claim = call
-                self._enqueue(request)
-            else:
-                self._answer(request)
+            if live and holds:
+                live.claim = call
+                self._enqueue(live)
+            elif live and holds is False:
+                self._answer(live)
+            elif request and holds:
+                self._tell(customer, account.give_back(call, self.now))
         elif event.result is Result.TURNED_AWAY:
             self.crowding.turned_away()
-            if request and not request.ended:  # its client comes again: a call made again here helps less
-                self._answer(request)
+            if live:
+                self._answer(live)  # its client comes again: a call made again here helps less
         else:
             self.crowding.unanswered()
-            if request and not request.ended:
-                self._go_alone(request)
+            if live:
+                self._go_alone(live)
 
     def _counted(self, event: CountAnswer) -> None:
         if event.name in self.claims:
--- a/irisdeal/quota/account.py
+++ b/irisdeal/quota/account.py
@@ -31,7 +31,6 @@
 from __future__ import annotations
 
 import math
-from enum import Enum
 
 from irisdeal.quota.call import Call, Purpose
 
@@ -51,13 +50,6 @@
 EVEN = 2.0  # even parts of the rate that go out here while the keeper is silent: most customers use half
 
 
-class Verdict(Enum):
-    """What is done with a try before the keeper is asked."""
-
-    CLAIM = "the count decides"
-    REFUSE = "there is no room, by what is known"
-
-
 class Account:
     """One customer of one plan with a rate, at one door."""
 
@@ -112,16 +104,14 @@
             return 0.0
         return max(0.0, 1.0 - MARGIN * self.rate / self.much)
 
-    def decide(self, units: float, now: int, draw: float) -> Verdict:
-        """Whether a new try is claimed at all. `draw` is from 0 to 1."""
-        if self.index == self._index(now) and self.carried is not None and (
-                self.drawn + units > self.room() + self.quantum / 2):
-            return Verdict.REFUSE
-        return Verdict.REFUSE if draw < self.chance(now) else Verdict.CLAIM
+    def is_vain(self, units: float, now: int, draw: float) -> bool:
+        """Whether a new try is refused by what is known, with no call. `draw` is from 0 to 1."""
+        full = self.drawn + units > self.room() + self.quantum / 2
+        known = self.index == self._index(now) and self.carried is not None
+        return (known and full) or draw < self.chance(now)
 
     def _call(self, purpose: Purpose, index: int, amount: float, *claimed: float) -> Call:
-        named = index - 1 if purpose is Purpose.READ else index
-        name = (self.key << 24) | (named % 2**24)
+        name = (self.key << 24) | ((index - (purpose is Purpose.READ)) % 2**24)
         return Call(purpose, name, float(amount), int(LIVES * self.slot), index, *claimed)
 
     def claim(self, units: float, now: int, draw: float) -> Call:
--- a/irisdeal/quota/crowding.py
+++ b/irisdeal/quota/crowding.py
@@ -5,21 +5,20 @@
 1. *Turned away*: the keeper lives and has too much to do. Claims are spared. Most of what clients try again
    is beyond their quotas, so a spared repeat is refused. A spared first try is refused too while few are,
    since its client comes again and is claimed then; the more are spared, the more go out by themselves.
-   (Worth served less what is paid beyond, with time for 1.4, 1.0, 0.7 and 0.4 calls a request, by
-   `benchmarks.account`: 0.91, 0.84, 0.74, 0.64; all refused 0.91, 0.83, 0.69, 0.50; all let out 0.90, 0.76,
-   0.67, 0.62.)
 2. *No answer, or no connection*: the keeper is lost, wholly or in part. Claims become few, as each costs its
    request the wait, and the account goes by itself.
 
-Claims are spared by a factor that goes up and down by steps; it rests where both weigh each other out.
+Claims are spared by a factor that goes up and down by steps and rests where both weigh each other out: late,
+as a call turned away costs the keeper little, and a short line turns away long before it has no time.
 """
 
 from __future__ import annotations
 
 from enum import Enum
 
-UP, DOWN = 1.6, 0.95  # steps for a call turned away and one answered: at rest one in ten is turned away
+UP, DOWN = 1.3, 0.8  # steps for a call turned away and one answered: at rest nearly half are turned away
 MOST = 20.0  # claims spared for each one made, at most: what is left tells when there is time again
+SHARP = 4  # power of the part that is spared with which spared first tries go out; weighed from 2 to 4
 LEARN = 0.25  # weight of a new call in the share that has no answer: four tell
 LEAST = 0.1  # of the tries ask a silent keeper, so that a door with ten tries a second hears of it within one
 
@@ -60,4 +59,4 @@
         asked, draw = 1.0 / self.crowded, draw / heard
         if draw < asked:
             return Way.ASK
-        return Way.ALONE if not again and draw < asked + (1.0 - asked) ** 2 else Way.SPARE
+        return Way.ALONE if not again and draw < asked + (1.0 - asked) ** SHARP else Way.SPARE
