The demo puts faults on single ways: cut, silent one way, slow or reset, for some doors only

Need: a keeper cut from half of the doors, a link silent one way, could not be played; the demo cut halls for all doors and split the keeper in two that both answer. It started 16 doors at most.

Change: link-cut, link-silent (out, back or both), link-slow and link-reset on the ways that the first doors have to the keeper, the roster or a hall, through the relay; up to 64 doors. Rejected: a second relay for the keeper's lines alone, which would know nothing of splits.

tests/test_many_doors.py: the keeper cut from six of twelve doors.

--- a/irisdeal/chaos/day.py
+++ b/irisdeal/chaos/day.py
@@ -77,10 +77,13 @@
         self.links.append((source, target, way))
         return self.net.lead(to, way)
 
-    def set(self, names: Any, condition: Condition) -> None:
-        wanted = set(names)
+    def set(self, names: Any, condition: Condition, target: str = "") -> None:
+        if condition.way != "both":
+            raise ValueError(f"silence {condition.way}: wanted both ways, in virtual time")
+        wanted, to = set(names), target
         for source, target, way in self.links:
-            if source not in wanted and target not in wanted:
+            if (source not in wanted or target != to) if to else (
+                    source not in wanted and target not in wanted):
                 continue
             if (hold := self.open.pop(way, None)) is not None:
                 hold.end = self.now()
@@ -95,10 +98,10 @@
             else:
                 self.net.release(way)
 
-    def reset(self, names: Any) -> None:
-        wanted = set(names)
+    def reset(self, names: Any, target: str = "") -> None:
+        wanted, to = set(names), target
         for source, target, way in self.links:
-            if source in wanted or target in wanted:
+            if (source in wanted and target == to) if to else (source in wanted or target in wanted):
                 self.net.reset(way)
 
     def close(self) -> None:
--- a/irisdeal/chaos/schedule.py
+++ b/irisdeal/chaos/schedule.py
@@ -24,7 +24,8 @@
 MOST_FAULTS = 6
 PAIR_NEAR = 0.5  # s within which the second fault of a pair begins after the first
 # Faults that a small day plays; the rest want more doors or machines than it has, or cost too much.
-LEFT_OUT = ("flood", "connect-storm", "slow-readers")
+LEFT_OUT = (
+    "flood", "connect-storm", "slow-readers", "link-cut", "link-silent", "link-slow", "link-reset")
 KINDS = tuple(kind for kind in FAULTS if kind not in LEFT_OUT)
 PAIRS = tuple(itertools.combinations_with_replacement(KINDS, 2))
 # What each size means differs; the least and the most that a small day is given.
--- a/irisdeal/cli/main.py
+++ b/irisdeal/cli/main.py
@@ -64,7 +64,7 @@
 @main.command()
 @click.option("--scenario", "name", default="calm", metavar="NAME|FILE", show_default=True,
               help="A built-in scenario, or a TOML file.")
-@click.option("--doors", type=click.IntRange(1, 16), default=None, help="In place of the scenario's.")
+@click.option("--doors", type=click.IntRange(1, 64), default=None, help="In place of the scenario's.")
 @click.option("--seconds", type=click.FloatRange(0.5, 3600), default=None,
               help="In place of the scenario's; its timeline moves along.")
 @click.option("--seed", type=click.IntRange(0), default=None,
--- a/irisdeal/demo/processes.py
+++ b/irisdeal/demo/processes.py
@@ -167,7 +167,7 @@
         environment = {key: value for key, value in os.environ.items() if not key.startswith("EDGE_")}
         environment |= {
             "EDGE_NAME": f"n{door.number}", "EDGE_LISTEN": door.listen,
-            "EDGE_DISCOVERY": f"127.0.0.1:{self.platform.roster.ports[door.number]}",
+            "EDGE_DISCOVERY": self.platform.discovery(door.number),
             "EDGE_CONFIG": str(door.config), "TMPDIR": str(self.folder)}
         door.process = await asyncio.create_subprocess_exec(
             "/bin/sh", "-c", self.deploy.run, cwd=self.deploy.root, env=environment, start_new_session=True,
--- a/irisdeal/standins/platform.py
+++ b/irisdeal/standins/platform.py
@@ -49,9 +49,9 @@
 
     async def add(self, source: str, target: str, to: Address) -> Address: ...
 
-    def set(self, names: Iterable[str], condition: Condition) -> None: ...
+    def set(self, names: Iterable[str], condition: Condition, target: str = "") -> None: ...
 
-    def reset(self, names: Iterable[str]) -> None: ...
+    def reset(self, names: Iterable[str], target: str = "") -> None: ...
 
     def close(self) -> None: ...
 
@@ -83,7 +83,10 @@
         self.roster = Roster(self.scenario.roster, self.books, self.now, seed)
         self.relay: Links = links or Relay(self.now, self.books.holds)
         self.ways: dict[str, dict[int, int]] = {}  # by box, the port that each door is given
-        self.relayed = any(f.do.startswith("hall-") for f in self.scenario.faults)
+        ends = {f.to for f in self.scenario.faults if f.do.startswith("link-")}
+        self.relayed = bool(ends & set(fleet.halls)) or any(
+            f.do.startswith("hall-") for f in self.scenario.faults)
+        self.led = {name: dict[int, int]() for name in ("keeper", "roster") if name in ends}  # ports by door
         self.random = stream(seed, "faults")
         self.struck: set[str] = set()  # boxes that a fault has; those that are gone stay
         self.tasks: set[asyncio.Task[None]] = set()
@@ -99,6 +102,11 @@
         self.roster.ledger.change(*(self._member(box, "Ready") for box in self.boxes))
         await self.roster.start(self.doors)
         await self.keeper.start(self.doors)
+        for name, ports in (("keeper", self.keeper.ports), ("roster", self.roster.ports)):
+            if name in self.led:
+                for door in self.doors:
+                    way = await self.relay.add(door_name(door), name, ("127.0.0.1", ports[door]))
+                    self.led[name][door] = way[1]
         if self.looks_late:
             self.lateness.start()
 
@@ -143,16 +151,20 @@
 
     # Doors' configuration
 
+    def discovery(self, door: int) -> str:
+        """Where a door finds the roster."""
+        return f"127.0.0.1:{self.led.get('roster', self.roster.ports)[door]}"
+
     def config(self, door: int, listen: str, seed: int) -> dict[str, Any]:
         """What a door is told (DEPLOY, What a front door is told)."""
         revision, members = self.roster.ledger.whole(door)
         spec = self.scenario.door
         report = {"report": str(self.reports / f"n{door}.sock")} if self.reports is not None else {}
         return report | {
-            "name": f"n{door}", "listen": listen, "discovery": f"127.0.0.1:{self.roster.ports[door]}",
+            "name": f"n{door}", "listen": listen, "discovery": self.discovery(door),
             "seed": f"{seed:016x}",
             "limits": {"cores": 1.0, "memory_mb": spec.memory_mb, "sockets": spec.sockets},
-            "counter": f"127.0.0.1:{self.keeper.ports[door]}",
+            "counter": f"127.0.0.1:{self.led.get('keeper', self.keeper.ports)[door]}",
             "known": {"revision": revision, "complete": True, "members": [m.told(door) for m in members]},
             "settings": self.scenario.settings(door)}
 
@@ -197,7 +209,9 @@
             "keeper-split": self._keeper_split,
             "roster-silent": self._roster_silent, "roster-late": self._roster_late,
             "roster-lose": self._roster_lose, "hall-cut": self._hall_cut, "hall-slow": self._hall_slow,
-            "hall-reset": self._hall_reset, "door-kill": self._door_kill, "door-restart": self._door_restart,
+            "hall-reset": self._hall_reset, "link-cut": self._link, "link-silent": self._link,
+            "link-slow": self._link, "link-reset": self._link,
+            "door-kill": self._door_kill, "door-restart": self._door_restart,
             "door-stall": self._door_stall,
             "door-reload": self._door_reload}
         if (play := table.get(fault.do)) is not None:  # the rest is drawn into the day or the terminals'
@@ -339,6 +353,17 @@
     async def _hall_reset(self, fault: Fault, _: Doors) -> None:
         self.relay.reset([fault.hall])
 
+    async def _link(self, fault: Fault, _: Doors) -> None:
+        doors = [door_name(door) for door in self.doors[:fault.door]]
+        if fault.do == "link-reset":
+            return self.relay.reset(doors, fault.to)
+        self.relay.set(doors, {
+            "link-cut": Condition(cut=True), "link-silent": Condition(silent=True, way=fault.way),
+            "link-slow": Condition(delay=fault.ms / 1000)}[fault.do], fault.to)
+        await asyncio.sleep(fault.for_s)
+        self.relay.set(doors, Condition(), fault.to)
+        self.note(f"{len(doors)} doors have their ways to {fault.to} again")
+
     async def _door_kill(self, fault: Fault, doors: Doors) -> None:
         await doors.kill(fault.door, fault.for_s)
 
--- a/irisdeal/standins/relay.py
+++ b/irisdeal/standins/relay.py
@@ -25,12 +25,20 @@
 
 @dataclass(slots=True)
 class Condition:
-    """How a link is. `rate` in bytes a second each way, 0 for no limit; `delay` in s each way."""
+    """How a link is. `rate` in bytes a second each way, 0 for no limit; `delay` in s each way.
+
+    `way` of a silent one: what is held, from the source ("out"), to it ("back"), or both.
+    """
 
     delay: float = 0.0
     rate: float = 0.0
     silent: bool = False
     cut: bool = False
+    way: str = "both"
+
+    def holds_from(self, source: bool) -> bool:
+        """Whether what the source writes, or else the target, is held."""
+        return self.cut or (self.silent and self.way != ("back" if source else "out"))
 
     @property
     def holds(self) -> bool:
@@ -40,8 +48,8 @@
 class _Side(asyncio.Protocol):
     """One end of one relayed connection. What comes here goes out at `other`."""
 
-    def __init__(self, link: Link) -> None:
-        self.link = link
+    def __init__(self, link: Link, source: bool) -> None:
+        self.link, self.source = link, source
         self.other: _Side | None = None
         self.transport: asyncio.Transport | None = None
         self.held: deque[bytes] = deque()
@@ -72,7 +80,7 @@
     def _flush(self) -> None:
         """Pass on what is held, as the link's condition allows."""
         condition, other = self.link.condition, self.other
-        if condition.holds or other is None:
+        if condition.holds_from(self.source) or other is None:
             return
         loop = asyncio.get_running_loop()
         if other.transport is None:
@@ -154,7 +162,7 @@
 
     async def _join(self, made: socket.socket) -> None:
         loop = asyncio.get_running_loop()
-        near, far = _Side(self), _Side(self)
+        near, far = _Side(self, True), _Side(self, False)
         near.other, far.other = far, near
         try:
             await loop.connect_accepted_socket(lambda: near, made)
@@ -234,18 +242,20 @@
         self.links.append(link)
         return "127.0.0.1", await link.open()
 
-    def between(self, names: Iterable[str]) -> list[Link]:
-        """The links that touch one of these names."""
+    def between(self, names: Iterable[str], target: str = "") -> list[Link]:
+        """The links that touch one of these names; with a target, those that lead from one of them there."""
         wanted = set(names)
+        if target:
+            return [link for link in self.links if link.source in wanted and link.target == target]
         return [link for link in self.links if link.source in wanted or link.target in wanted]
 
-    def set(self, names: Iterable[str], condition: Condition) -> None:
-        for link in self.between(names):
+    def set(self, names: Iterable[str], condition: Condition, target: str = "") -> None:
+        for link in self.between(names, target):
             link.set(condition)
 
-    def reset(self, names: Iterable[str]) -> None:
+    def reset(self, names: Iterable[str], target: str = "") -> None:
         """Every connection of these links is reset."""
-        for link in self.between(names):
+        for link in self.between(names, target):
             link.reset()
 
     def split(self, *groups: Iterable[str]) -> None:
--- a/irisdeal/standins/scenario.py
+++ b/irisdeal/standins/scenario.py
@@ -19,7 +19,7 @@
 BUILT_IN = resources.files("irisdeal.standins") / "scenarios"
 MOST_BYTES = 262_144  # of a scenario file
 MOST_BASES = 4  # a chain of bases longer than this is a circle
-MOST = {"doors": 16, "boxes": 200, "seconds": 3600.0, "processes": 8}  # what one machine can start
+MOST = {"doors": 64, "boxes": 200, "seconds": 3600.0, "processes": 8}  # what one machine can start
 
 
 class ScenarioError(ValueError):
@@ -181,6 +181,8 @@
     size: float = 0.0
     ms: float = 0.0
     empty: bool = False
+    to: str = ""  # keeper, roster or a hall
+    way: str = "both"  # out, from the doors; back, to them; both
 
     def text(self) -> str:
         told = [self.do]
@@ -191,6 +193,8 @@
             told.append(self.hall)
         if "door" in needs:
             told.append(f"door {self.door}")
+        if "to" in needs:
+            told.append(f"to {self.to}" + (f", {self.way}" if "way" in needs else ""))
         if "size" in needs:
             told.append(f"size {self.size:g}")
         if "ms" in needs:
@@ -222,6 +226,11 @@
     "hall-cut": ("hall", "for_s"),  # no byte passes between the doors and that hall, both ways
     "hall-slow": ("hall", "for_s", "ms"),
     "hall-reset": ("hall",),  # every connection to that hall is reset
+    # The ways that the doors before `door` have to `to`; other doors keep theirs.
+    "link-cut": ("door", "to", "for_s"),  # no byte passes and no connection comes up
+    "link-silent": ("door", "to", "way", "for_s"),  # what is written one way, or both, is held
+    "link-slow": ("door", "to", "ms", "for_s"),
+    "link-reset": ("door", "to"),
     "door-kill": ("door", "for_s"),  # SIGKILL; started again after for_s
     "door-restart": ("door",),  # SIGTERM; started again when it has ended
     "door-stall": ("door", "for_s"),  # SIGSTOP, SIGCONT after for_s: swapped out, or a starved core
@@ -572,6 +581,14 @@
                 need(1 <= fault.boxes <= fleet.boxes, f"{at}.boxes", fault.boxes, f"1 to {fleet.boxes}")
             if fault.do == "keeper-split":
                 need(fault.door > 0, f"{at}.door", fault.door, f"1 to {made.doors - 1}")
+            if fault.do.startswith("link-"):
+                need(0 < fault.door <= made.doors, f"{at}.door", fault.door, f"1 to {made.doors}")
+                ends = ("keeper", "roster", *fleet.halls)
+                need(fault.to in ends, f"{at}.to", fault.to, f"one of {', '.join(ends)}")
+                need(fault.way in ("both", "out", "back"), f"{at}.way", fault.way, "both, out or back")
+                need(fault.to in fleet.halls or not any(f.do == "door-reload" for f in made.faults),
+                     f"{at}.to", fault.to, "a hall, where keeper and roster move by door-reload")
+                continue
             if "door" in needs:
                 need(fault.door < made.doors, f"{at}.door", fault.door, f"0 to {made.doors - 1}")
             if "hall" in needs:
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -95,7 +95,7 @@
 @pytest.mark.parametrize(("arguments", "says"), [
     (["--scenario", "nothing"], "nothing: no such scenario: wanted a file, or one of calm"),
     (["--scenario", "nowhere/x.toml"], "nowhere/x.toml: No such file"),
-    (["--doors", "0"], "0 is not in the range 1<=x<=16"),
+    (["--doors", "0"], "0 is not in the range 1<=x<=64"),
     (["--seconds", "soon"], "'soon' is not a valid float"),
     (["--deploy", "nowhere.toml"], "nowhere.toml: no such file"),
     (["--json", "nowhere/out.json"], "cannot be written"),
--- a/tests/test_many_doors.py
+++ b/tests/test_many_doors.py
@@ -71,17 +71,20 @@
     return {store.customer for store in outcome.day.stores if store.manner in manners}
 
 
+LINK = '[[at]]\nat_s = 2\nfor_s = 3\ndoor = 6\nto = "keeper"\n'
 # A fault, and how often it may let another burst and slot through, or for how many seconds a door is alone.
 FAULTS = {
     "none": ("", 0, 0.0),
     "split": ('[[at]]\nat_s = 2\ndo = "keeper-split"\ndoor = 6\nfor_s = 3\n', 2, 0.0),
+    "cut from half": (LINK + 'do = "link-cut"\n', 1, 4.0),
+    "mute to half": (LINK + 'do = "link-silent"\nway = "back"\n', 1, 4.0),
     "flush": ('[[at]]\nat_s = 3\ndo = "keeper-flush"\nsize = 0.9\n', 1, 0.0),
     "slow": ('[[at]]\nat_s = 2\ndo = "keeper-slow"\nsize = 4\nfor_s = 3\n', 1, 3.0),
     "silent": ('[[at]]\nat_s = 2\ndo = "keeper-silent"\nfor_s = 3\n', 1, 4.0),
 }
 
 
-@pytest.mark.parametrize("fault", ["none", "split", "silent"])
+@pytest.mark.parametrize("fault", ["none", "split", "cut from half", "silent"])
 def test_a_dozen_doors_keep_quotas_within_the_stated_bounds_while_the_keeper_fails(fault: str) -> None:
     line, again, alone = FAULTS[fault]
     outcome = day(line)
--- a/tests/test_scenario.py
+++ b/tests/test_scenario.py
@@ -18,6 +18,9 @@
 REST = "[fleet]" + REST
 
 
+LINK = SMALL + '[[at]]\nat_s = 1\nfor_s = 1\n'
+
+
 @pytest.mark.parametrize("name", names())
 def test_each_built_in_scenario_can_be_drawn_and_has_something_to_say(name: str) -> None:
     scenario = load(name)
@@ -53,6 +56,11 @@
     (SMALL + '[[at]]\nat_s = 1\ndo = "door-restart"\ndoor = 2\n', "at[0].door is 2: wanted 0 to 1"),
     (SMALL + '[[at]]\nat_s = 1\ndo = "keeper-flush"\nsize = 2\n', "at[0].size is 2.0: wanted a share"),
     (SMALL + '[[at]]\nat_s = 1\ndo = "keeper-split"\ndoor = 0\nfor_s = 1\n', "at[0].door is 0: wanted 1"),
+    (LINK + 'do = "link-cut"\ndoor = 0\nto = "keeper"\n', "at[0].door is 0: wanted 1 to 2"),
+    (LINK + 'do = "link-cut"\ndoor = 1\nto = "moon"\n', "at[0].to is 'moon': wanted one of keeper, roster"),
+    (LINK + 'do = "link-silent"\ndoor = 1\nto = "keeper"\nway = "up"\n', "at[0].way is 'up': wanted both"),
+    (LINK + 'do = "link-cut"\ndoor = 1\nto = "roster"\n[[at]]\nat_s = 2\ndo = "door-reload"\ndoor = 0\n',
+     "at[0].to is 'roster': wanted a hall"),
     ("seconds = 3\n", "class is []: wanted at least one [[class]]"),
     ("seconds = = 3\n", "no TOML"),
     ("base = 3\n", "base: wanted the name of a scenario"),
--- a/tests/test_standin_sockets.py
+++ b/tests/test_standin_sockets.py
@@ -257,6 +257,44 @@
     server.close()
 
 
+@socket_test
+async def test_a_link_that_is_silent_one_way_passes_the_other_on() -> None:
+    relay = Relay(Clock(), [])
+    port, server = await echoing(relay)
+    reader, writer = await opened(port)
+    relay.set(["door"], Condition(silent=True, way="back"), "hall")
+    writer.write(b"heard")
+    while not any(side.held and not side.source for side in relay.links[0].sides):
+        await asyncio.sleep(0)  # the echo came, so the question went out
+    relay.set(["door"], Condition(silent=True, way="out"), "hall")
+    assert await reader.readexactly(5) == b"heard"
+    writer.write(b"mute")
+    while not any(side.held and side.source for side in relay.links[0].sides):
+        await asyncio.sleep(0)
+    relay.heal()
+    assert await reader.readexactly(4) == b"mute"
+    relay.close()
+    server.close()
+
+
+@socket_test
+async def test_a_fault_on_the_way_to_one_target_leaves_the_others() -> None:
+    relay = Relay(Clock(), [])
+    (_, first), (port, second) = await echoing(relay, "door", "keeper"), await echoing(relay, "door", "hall")
+    _, third = await echoing(relay, "other", "keeper")
+    relay.set(["door"], Condition(cut=True), "keeper")
+    assert [link.condition.cut for link in relay.links] == [True, False, False]
+    reader, writer = await opened(port)
+    writer.write(b"x")
+    assert await reader.readexactly(1) == b"x"
+    relay.reset(["door"], "keeper")
+    writer.write(b"y")
+    assert await reader.readexactly(1) == b"y"
+    relay.close()
+    for server in (first, second, third):
+        server.close()
+
+
 @socket_test
 async def test_a_cut_link_lets_no_connection_come_up_until_it_heals() -> None:
     relay = Relay(Clock(), [])
