--- a/irisdeal/quota/crowding.py
+++ b/irisdeal/quota/crowding.py
@@ -17,7 +17,7 @@
 
 UP, DOWN = 1.3, 0.8  # steps for a call turned away and one answered: at rest nearly half are turned away
 MOST = 20.0  # claims spared for each one made, at most: what is left tells when there is time again
-SHARP = 4  # power of the part that is spared with which spared first tries go out; weighed from 2 to 4
+SHARP = 4  # spared first tries go out with the part spared, to 1 + so many times the part asked
 LEARN = 0.25  # weight of a new call in the share that has no answer: four tell
 LEAST = 0.1  # of the tries ask a silent keeper, so that a door with ten tries a second hears of it within one
 
@@ -56,4 +56,4 @@
         asked, draw = 1.0 / self.crowded, draw / heard
         if draw < asked:
             return Way.ASK
-        return Way.ALONE if not again and draw < asked + (1.0 - asked) ** SHARP else Way.SPARE
+        return Way.ALONE if not again and draw < asked + (1.0 - asked) ** (1.0 + SHARP * asked) else Way.SPARE
