A SIGHUP while the first description is read is no longer lost

The door had logged "generation 1", the test had written a new description and signalled, and the door answered its route with 404. The lines at fault: main() ignores SIGHUP until a handler stands, and Program.run set it only once the first description was read, behind that log line.

Change: the handler stands before the description is read; what comes meanwhile is owed and done after it. The test waits on the door's end and stands still, to its limit, without the change.

--- a/irisdeal/door/program.py
+++ b/irisdeal/door/program.py
@@ -106,7 +106,7 @@
 
             self.handover = Handover(self, folder, loop)
         self.over = asyncio.Event()
-        self.stopping = False
+        self.stopping = self.may_reload = self.reload_owed = False
 
     def _pass_long_bodies_on(self, config: Config) -> None:
         from irisdeal.door.flows import Outflow, Upload
@@ -144,9 +144,12 @@
         """Serve until SIGTERM, then until all is answered."""
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self.stop)
+        self.loop.add_signal_handler(signal.SIGHUP, self._hang_up)
         if self.router is not None:
             await self.router.first()
-        self.loop.add_signal_handler(signal.SIGHUP, self.reload)
+        self.may_reload = True
+        if self.reload_owed:
+            self.reload()
         await self.tell()
         if self.handover is not None:
             await self.handover.take()
@@ -193,6 +196,13 @@
             return False, "not listening yet"
         return (True, "") if self.door.can_serve() else (False, "no list of backends yet")
 
+    def _hang_up(self) -> None:
+        """SIGHUP; while the description is read for the first time it must wait, and not be lost."""
+        if self.may_reload:
+            self.reload()
+        else:
+            self.reload_owed = True
+
     def reload(self) -> None:
         """Read the configuration again: discovery and the counter may have moved."""
         try:
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -115,3 +115,30 @@
             assert door.returncode == 0
 
     asyncio.run(run())
+
+
+@socket_test
+async def test_a_signal_while_the_first_description_is_read_is_heard_once_it_is() -> None:
+    """Lost: it was ignored until a handler stood, and a test of real doors waited for its answer for good."""
+    class Reading:
+        async def first(self) -> None:
+            os.kill(os.getpid(), signal.SIGHUP)
+            await asyncio.sleep(0)
+            assert not program.over.is_set()  # the table is not there yet
+
+        def stop(self) -> None:
+            pass
+
+    script = Script(lambda event: [])
+    async with Peer() as agent, running(script, discovery=f"127.0.0.1:{agent.port}") as door:
+        program = door.program
+        program.router = Reading()  # type: ignore[assignment]
+        program.reload = program.over.set  # type: ignore[method-assign]
+        program.start = lambda: None  # type: ignore[method-assign]
+        was = signal.signal(signal.SIGHUP, signal.SIG_IGN)
+        try:
+            await program.run()
+        finally:
+            asyncio.get_running_loop().remove_signal_handler(signal.SIGHUP)
+            signal.signal(signal.SIGHUP, was)
+            program.router = None
