--- a/irisdeal/barometer/tokens.py
+++ b/irisdeal/barometer/tokens.py
@@ -16,7 +16,8 @@
 
 - doors with a part l of the demand fall silent: ALONE_FIRST x l / 2 x rate, until their registry leaves it to
   them;
-- registries start again and have forgotten what they gave: START x depth of their parts;
+- registries start again and have forgotten what they gave: START x depth of their parts, and DOWN s of refill that
+  others may have given meanwhile (nobody has, where all were down);
 - demand moves from one registry to another: what its part moves by in an interval.
 """
 
@@ -31,6 +32,7 @@
 SPREAD_SLACK = 0.3  # likewise of what is given out of excess and slack
 START = 0.3  # of its depth that a registry which knows nothing begins with
 FRESH = 0.35  # of its depth that is kept for requests which can still be answered inside their aim
+DOWN = 0.45  # s that a machine is down at least before its registry starts: what its part would have refilled by
 EVEN = 0.5  # of what doors that are alone share, that goes by the count of doors; the rest by their demand
 ALONE_DEPTH = 1.0  # s of its part of the rate that a door which is alone may save up
 ALONE_FIRST = 2.2  # s at first in which it has half of its part: until all registries know that it is silent
@@ -84,6 +86,8 @@
         self.rule, self.rate, self.burst = rule, rate, burst
         self.share = 1.0 / max(1, many)
         self.tokens, self.filled = min(1.0, START + age / rule.window) * self.depth(), now
+        self.credit = self.share * DOWN * rule.refill(rate, burst) if age < DOWN else 0.0
+        self.credit_until = now + DOWN
         self.used = now  # when it was last asked for one
 
     def depth(self) -> float:
@@ -116,6 +120,9 @@
         if self.rate <= 0:
             return True
         self._fill(now)
+        if self.credit >= 1.0 and now < self.credit_until:
+            self.credit -= 1.0
+            return True
         if self.tokens < 1.0 + (FRESH * self.depth() if is_late else 0.0):
             return False
         self.tokens -= 1.0
--- a/irisdeal/gauge/desk.py
+++ b/irisdeal/gauge/desk.py
@@ -84,20 +84,20 @@
 
     def _admitted(self, peer: str, body: Any, now: float) -> Any:
         """What is answered to an ask that is within its quota."""
-        zone, service, usual, avoid, _, hold, time, _, again, _ = body
+        zone, service, usual, avoid, _, hold, time, _, again, _, connected = body
         repeats = self._repeats(service)
         if not again:
             repeats.request(now)
         elif not repeats.spend(now, self._registries()):
             return OVER_BUDGET
-        placed = self._place(peer, zone, service, usual, avoid, now, time, False)
+        placed = self._place(peer, zone, service, usual, avoid, now, time, False, connected)
         return placed or (NONE if hold <= 0 else WAIT)
 
     def _place(
-        self, peer: str, zone: str, service: str, usual: float, avoid: list[str], now: float, time: float,
-        any_: bool,
+        self, peer: str, zone: str, service: str, usual: float, avoid: list[int], now: float, time: float,
+        any_: bool, connected: list[int],
     ) -> list[Any] | None:
-        placed = self.placer.place(peer, zone, service, usual, avoid, now, now + time + GRACE, not any_)
+        placed = self.placer.place(peer, zone, service, usual, avoid, now, now + time + GRACE, not any_, connected)
         return [placed[0], placed[1].id, round(placed[2], 2)] if placed is not None else None
 
     async def place(self, peer: str, body: Any) -> Any:
@@ -111,12 +111,12 @@
 
     async def wait(self, peer: str, body: Any) -> list[Any]:
         """An ask that found no room; its token, if it needs one, is claimed."""
-        zone, service, usual, avoid, rank, hold, time, *_ = body
-        return await self._wait(peer, zone, service, usual, avoid, rank, hold, time)
+        zone, service, usual, avoid, rank, hold, time, *_, connected = body
+        return await self._wait(peer, zone, service, usual, avoid, rank, hold, time, connected)
 
     async def _wait(
-        self, peer: str, zone: str, service: str, usual: float, avoid: list[str], rank: int, hold: float,
-        time: float,
+        self, peer: str, zone: str, service: str, usual: float, avoid: list[int], rank: int, hold: float,
+        time: float, connected: list[int],
     ) -> list[Any]:
         """Wait for room for `hold` s; then the best there is, full or not."""
         begun = self.loop.time()
@@ -133,7 +133,7 @@
             now = self.loop.time()
             self._sync()
             last = now >= until
-            placed = self._place(peer, zone, service, usual, avoid, now, time - (now - begun), last)
+            placed = self._place(peer, zone, service, usual, avoid, now, time - (now - begun), last, connected)
             if placed is not None or last:
                 return placed or NONE
 
--- a/irisdeal/isobar/placing.py
+++ b/irisdeal/isobar/placing.py
@@ -24,6 +24,7 @@
 
 CROSSING = 0.6  # of a usual time, that another zone must be quicker by: its bytes are dear, its load is told late
 REGION = 2.0  # likewise another region
+CONNECTING = 0.6  # likewise a new connection: it is dear, and takes its time
 PACE_WEIGHT = 0.08  # of the newest answer in a backend's pace: a whole zone's answers come together here
 ILL_WEIGHT = 0.15  # of the newest answer in a backend's share of poor ones
 ILL_COST = 4.0  # usual times that an attempt at a backend costs which answers poorly always
@@ -86,8 +87,9 @@
         """A life that may be used."""
         backend = self.backends.get(id_)
         if backend is None:
-            backend = Backend(id_, service, ("", 0), zone, 0, max(1, capacity), warm_at)
-            self.backends[id_] = self.keys[key(id_)] = backend
+            backend = Backend(
+                id_, service, ("", 0), zone, 0, max(1, capacity), warm_at, key=key(id_))
+            self.backends[id_] = self.keys[backend.key] = backend
             self.services.setdefault(service, {}).setdefault(zone, []).append(backend)
         backend.warm_at = warm_at
         return backend
@@ -97,7 +99,7 @@
         backend = self.backends.pop(id_, None)
         if backend is not None:
             backend.draining = True
-            self.keys.pop(key(id_), None)
+            self.keys.pop(backend.key, None)
             zones = self.services[backend.service]
             zones[backend.zone].remove(backend)
             if not zones[backend.zone]:
@@ -106,15 +108,16 @@
     # Places
 
     def place(
-        self, door: str, zone: str, service: str, usual: float, avoid: Iterable[str], now: float, until: float,
-        only_free: bool,
+        self, door: str, zone: str, service: str, usual: float, avoid: Iterable[int], now: float, until: float,
+        only_free: bool, connected: Iterable[int] = (),
     ) -> tuple[int, Backend, float] | None:
         """A place's number, its backend and how many times its work the answer will take; None: no room, or none.
 
         `usual`: s that such a request takes; `until`: when the place is void at the latest; without `only_free`
-        the best backend there is, full or not.
+        the best backend there is, full or not. `avoid`, `connected`: keys of the lives that the door will not use,
+        and of those to which it has a connection at rest.
         """
-        backend = self._choose(zone, service, usual, frozenset(avoid), now, only_free)
+        backend = self._choose(zone, service, usual, frozenset(avoid), frozenset(connected), now, only_free)
         if backend is None:
             return None
         crowd = self.wind.crowd(backend)
@@ -125,37 +128,38 @@
         return self.number, backend, crowd
 
     def _choose(
-        self, zone: str, service: str, usual: float, avoid: frozenset[str], now: float, only_free: bool,
+        self, zone: str, service: str, usual: float, avoid: frozenset[int], connected: frozenset[int], now: float,
+        only_free: bool,
     ) -> Backend | None:
         zones = self.services.get(service, {})
-        best, least = self._best(zones.get(zone, ()), 0.0, usual, avoid, now, True)
-        if best is not None and (least <= CROSSING or len(zones) == 1):
+        best, least = self._best(zones.get(zone, ()), 0.0, usual, avoid, connected, now, True)
+        if best is not None and (least <= CROSSING + CONNECTING or len(zones) == 1):
             return best
         for other, backends in zones.items():
             if other != zone:
                 crossing = CROSSING if self.regions.get(other) == self.regions.get(zone) else REGION
-                found, cost = self._best(backends, crossing, usual, avoid, now, True)
+                found, cost = self._best(backends, crossing, usual, avoid, connected, now, True)
                 if found is not None and (best is None or cost < least):
                     best, least = found, cost
         if best is not None or only_free:
             return best
         for other, backends in zones.items():
             crossing = 0.0 if other == zone else CROSSING
-            found, cost = self._best(backends, crossing, usual, avoid, now, False)
+            found, cost = self._best(backends, crossing, usual, avoid, connected, now, False)
             if found is not None and (best is None or cost < least):
                 best, least = found, cost
         return best
 
     def _best(
-        self, backends: Iterable[Backend], crossing: float, usual: float, avoid: frozenset[str], now: float,
-        only_free: bool,
+        self, backends: Iterable[Backend], crossing: float, usual: float, avoid: frozenset[int],
+        connected: frozenset[int], now: float, only_free: bool,
     ) -> tuple[Backend | None, float]:
         """The cheapest and its cost in usual times beyond the first; dear and suspect ones are not `free`."""
         best, least = None, 0.0
         wind = self.wind
         for backend in backends:
             there = backend.out + backend.others
-            if (only_free and there >= backend.capacity * FREE) or backend.id in avoid:
+            if (only_free and there >= backend.capacity * FREE) or backend.key in avoid:
                 continue
             shunned = (backend.silent or backend.rests_until > now or backend.full_until > now
                        or (backend.out and wind.is_suspect(backend, usual, now)))
@@ -163,6 +167,8 @@
                 continue
             cost = (wind.expected(backend, 1.0, now) - 1.0 + crossing + ILL_COST * backend.ill
                     + JITTER * self.chance.random() + (10.0 if shunned else 0.0))
+            if backend.key not in connected:
+                cost += CONNECTING
             if best is None or cost < least:
                 best, least = backend, cost
         return best, least
--- a/irisdeal/vane/backends.py
+++ b/irisdeal/vane/backends.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import socket
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import cast
@@ -278,6 +279,12 @@
         backend.resting = 0
         return None
 
+    def connected(self, now: float, mutating: bool) -> Iterable[str]:
+        """The lives to which a connection rests that may be used now."""
+        part = IDLE_MUTATING if mutating else 1.0
+        return (id_ for id_, resting in self.resting.items()
+                if resting and now - resting[-1].idle_since <= resting[-1].idle_most * part)
+
     def _rest(self, connection: Connection) -> None:
         connection.idle_since = self.loop.time()
         resting = self.resting.setdefault(connection.backend.id, [])
--- a/irisdeal/vane/door.py
+++ b/irisdeal/vane/door.py
@@ -25,6 +25,7 @@
 from irisdeal.gauge.registry import Life, State
 from irisdeal.http1.framing import HOP, aliased
 from irisdeal.http1.server import Answer, HttpServer, Request
+from irisdeal.isobar.loads import key
 from irisdeal.isobar.placing import How
 from irisdeal.mast.events import invariant, tell
 from irisdeal.mast.process import Tasks
@@ -185,9 +186,12 @@
             near = 0 if life.zone == self.settings.zone else (
                 1 if self.settings.zones.get(life.zone) == self.settings.region else 2)
             backend = Backend(
-                life.id, life.service, address(life.address), life.zone, near, max(1, life.capacity), life.warm_at)
+                life.id, life.service, address(life.address), life.zone, near, max(1, life.capacity), life.warm_at,
+                key=key(life.id))
             self.backends[life.id] = backend
             self.services.setdefault(life.service, {})[life.id] = backend
+            if not self.counted:  # the starting bound, until there is a total: a door that starts is not idle
+                self.gate.slots = self._slots()
         backend.warm_at = life.warm_at
         backend.silent = silent
         backend.draining = backend.draining or life.state is State.DRAINING
@@ -232,14 +236,17 @@
 
     def _told(self, own: Figures, total: Figures) -> None:
         """A finished total, and our part of it: what we may hold of each tenant, and its chance of refusal."""
-        slots = sum(b.capacity for b in self.backends.values() if not (b.draining or b.silent))
         for token in self.gate.told({name: word[1] for name, word in own.items()},
-                                    {name: sums[1] for name, sums in total.items()}, slots, self.doors):
+                                    {name: sums[1] for name, sums in total.items()}, self._slots(), self.doors):
             self._go(token)
         for name, quota in self.quotas.items():
             asked, _, left, late, *_ = total.get(name, NOUGHT)
             quota.told(own.get(name, NOUGHT)[0], asked, late, left, self.doors)
 
+    def _slots(self) -> int:
+        """Requests that all backends work on at once."""
+        return sum(b.capacity for b in self.backends.values() if not (b.draining or b.silent))
+
     # A request
 
     async def serve(self, request: Request) -> Answer:
@@ -353,7 +360,7 @@
                 most = min(request.arrived + HOLD_SHARE * route.target, until - usual.time) - now
                 placed = await self._place(
                     service, tried, usual, rank, 0.0 if running else max(LEAST_HOLD, most), until, quota, is_late,
-                    again=sent + len(running) > 0)
+                    route.mutating, again=sent + len(running) > 0)
                 quota = None  # its token is claimed once
                 if placed is not None:
                     tried.add(placed.backend.id)
@@ -384,7 +391,7 @@
 
     async def _place(
         self, service: str, tried: set[str], usual: Usual, rank: int, hold: float, until: float,
-        quota: Quota | None, is_late: bool, again: bool,
+        quota: Quota | None, is_late: bool, mutating: bool, again: bool,
     ) -> Placed | None:
         """A backend for the next attempt: a registry's word, held against our own; without one our own choice.
 
@@ -392,12 +399,14 @@
         `quota`: where a token is to be claimed; Refused where there is none. `again`: a repeat, from its budget.
         """
         now = self.loop.time()
-        avoid = [id_ for id_, backend in self.services.get(service, {}).items()
-                 if id_ in tried or backend.rests_until > now]
+        known = self.services.get(service, {})
+        avoid = [backend.key for id_, backend in known.items() if id_ in tried or backend.rests_until > now]
+        connected = [known[id_].key for id_ in self.pool.connected(now, mutating) if id_ in known]
         limited = quota is not None and quota.rate > 0
         told = await self.sources.place(
             [self.settings.zone, service, round(usual.time, 4), avoid, rank, round(hold, 4), round(until - now, 3),
-             quota.name if quota is not None and limited else "", again, is_late], hold, FIRST_WAIT)
+             quota.name if quota is not None and limited else "", again, is_late, connected],
+            hold, FIRST_WAIT)
         if told is None:
             return self._place_alone(service, tried, usual, hold, quota, again)
         source, (number, id_, crowd) = told
--- a/irisdeal/vane/sources.py
+++ b/irisdeal/vane/sources.py
@@ -48,7 +48,8 @@
         self.good: dict[str, float] = {}  # source -> when it last answered and was in touch with the core
         self.links: dict[str, Link] = {}
         self.deaf: dict[str, float] = {}  # registries that did not answer at once, until when they are not asked
-        self.has_heard = asyncio.Event()  # a first registry that is in touch with the core
+        self.answering: set[str] = set()  # sources that answer, in touch with the core or not
+        self.has_heard = asyncio.Event()  # that a first source has answered
         self.tasks = Tasks()
 
     def start(self) -> None:
@@ -102,6 +103,7 @@
             finally:
                 self.using.remove(ip)
                 self.good.pop(ip, None)
+                self.answering.discard(ip)
                 for told in self.silent.values():
                     told.pop(ip, None)
                 link.close()
@@ -120,6 +122,8 @@
                 self.left[ip] = self.loop.time() + LEFT
                 return
             word, now_life, number, lives, roster, in_touch = answer.unwrap()
+            self.answering.add(ip)
+            self.has_heard.set()
             if now_life != life:
                 life = now_life
                 self.tasks.start(self._tell_again(link))
@@ -130,7 +134,6 @@
                 return
             if in_touch:
                 self.good[ip], lonely = self.loop.time(), 0
-                self.has_heard.set()
             else:
                 lonely += 1
                 await asyncio.sleep(PAUSE)
@@ -201,7 +204,7 @@
         is silent is not asked again for a while, then by one request at a time until it answers: the others do not
         wait for it.
         """
-        if not self.good and not self.has_heard.is_set():
+        if not self.has_heard.is_set():
             try:
                 async with asyncio.timeout(wait):
                     await self.has_heard.wait()
@@ -229,7 +232,7 @@
         self._count_link(ip).tell("ended", body)
 
     def _by_nearness(self) -> list[str]:
-        return sorted(self.good, key=lambda ip: (not self._is_near(ip), hash_of(self.settings.ip, ip)))
+        return sorted(self.answering, key=lambda ip: (not self._is_near(ip), hash_of(self.settings.ip, ip)))
 
     def _count_link(self, ip: str) -> Link:
         if ip not in self.links:
--- a/irisdeal/wind/choice.py
+++ b/irisdeal/wind/choice.py
@@ -46,6 +46,7 @@
     silent: bool = False
     full_until: float = -1e9
     answers: int = 0
+    key: int = 0  # short for `id`, between processes
     ill: float = 0.0  # share of the answers of late that were poor: failures, its own 5xx
     began: list[float] = field(default_factory=list)  # when what is out was sent, oldest first
     heard: float = -1e9  # when it last answered
