--- /dev/null
+++ b/tests/test_vane_backends.py
@@ -0,0 +1,130 @@
+"""MIXED at the socket: what a backend's bytes count as, however they come. The transport is a stand-in."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from irisdeal.vane import backends
+from irisdeal.vane.backends import Connection, End, Outcome, Pool
+from irisdeal.wind.choice import Backend
+
+ID, SEAL = b"X-Irisdeal-Attempt-Id: a1\r\n", b"X-Irisdeal-Backend-Seal: s\r\n"
+WHOLE = b"HTTP/1.1 200 OK\r\n" + ID + SEAL + b"Content-Length: 4\r\n\r\nbody"
+OTHER = WHOLE.replace(b"a1", b"b2")
+
+
+class Wire:
+    """A transport and its socket, both."""
+
+    def __init__(self) -> None:
+        self.written: list[bytes] = []
+        self.ended = False
+
+    def get_extra_info(self, _: str) -> Any:
+        return self
+
+    def setsockopt(self, *_: int) -> None:
+        pass
+
+    def fileno(self) -> int:
+        return 0
+
+    def write(self, data: bytes) -> None:
+        self.written.append(data)
+
+    def abort(self) -> None:
+        self.ended = True
+
+    def is_closing(self) -> bool:
+        return self.ended
+
+
+def played(pieces: list[bytes], closes: bool = False) -> tuple[Outcome | None, bool]:
+    """The outcome of one request whose connection brings these pieces; whether the connection is done with."""
+
+    async def play() -> tuple[Outcome | None, bool]:
+        pool = Pool(asyncio.get_running_loop(), 8)
+        connection, wire = Connection(pool, Backend("i", "s", ("127.0.0.1", 1), "z", 0, 2, 0.0)), Wire()
+        connection.connection_made(wire)  # type: ignore[arg-type]
+        done = connection.start(b"GET / HTTP/1.1\r\n\r\n", b"a1", False, False)
+        for piece in pieces:
+            connection.data_received(piece)
+        if closes:
+            connection.connection_lost(None)
+        return (done.result() if done.done() else None), connection.dead
+
+    return asyncio.run(play())
+
+
+def test_a_whole_answer_counts_however_it_is_cut_into_pieces() -> None:
+    for at in range(1, len(WHOLE)):
+        outcome, dead = played([WHOLE[:at], WHOLE[at:]])
+        assert outcome is not None and outcome.end is End.ANSWER and outcome.body == b"body" and not dead
+
+
+@pytest.mark.parametrize("data", [
+    OTHER,
+    WHOLE.replace(ID, b""),
+    WHOLE.replace(SEAL, b""),
+    WHOLE.replace(SEAL, SEAL + b"Content-Encoding: gzip\r\n"),
+    b"garbage\r\n\r\n",
+    WHOLE.replace(b"Content-Length: 4", b"Content-Length: 4\r\nContent-Length: 5"),
+], ids=["another request's", "no id", "no seal", "an encoding", "no answer", "two lengths"])
+def test_what_is_no_answer_to_this_request_ends_the_connection_and_may_have_run(data: bytes) -> None:
+    outcome, dead = played([data])
+    assert outcome is not None and outcome.end is End.LOST and dead
+
+
+def test_an_answer_that_breaks_off_is_none_wherever_it_breaks() -> None:
+    for at in range(len(WHOLE)):
+        outcome, dead = played([WHOLE[:at]], closes=True)
+        assert outcome is not None and outcome.end is End.LOST and dead
+
+
+def test_an_answer_without_a_length_is_none_as_its_end_looks_like_a_break() -> None:
+    outcome, _ = played([WHOLE.replace(b"Content-Length: 4\r\n", b"")], closes=True)
+    assert outcome is not None and outcome.end is End.LOST
+
+
+@pytest.mark.parametrize("more", [OTHER, b"xx", WHOLE])
+def test_bytes_behind_a_whole_answer_belong_to_no_request(more: bytes) -> None:
+    outcome, dead = played([WHOLE + more])
+    assert outcome is not None and outcome.end is End.ANSWER and outcome.body == b"body" and dead
+    outcome, dead = played([WHOLE, more])
+    assert outcome is not None and outcome.end is End.ANSWER and dead
+
+
+@pytest.mark.parametrize("head", [
+    b"HTTP/1.1 503 Full\r\n" + ID + b"X-Irisdeal-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+    b"HTTP/1.1 421 No\r\n" + ID + b"Content-Length: 0\r\n\r\n",
+], ids=["not executed", "another life"])
+def test_a_promise_frees_the_request(head: bytes) -> None:
+    outcome, _ = played([head])
+    assert outcome is not None and outcome.end is End.PROMISE
+
+
+def test_a_promise_to_another_request_frees_nothing() -> None:
+    outcome, _ = played([b"HTTP/1.1 503 Full\r\nX-Irisdeal-Attempt-Id: b2\r\nX-Irisdeal-Not-Executed: 1\r\n"
+                         b"Content-Length: 0\r\n\r\n"])
+    assert outcome is not None and outcome.end is End.LOST
+
+
+def test_what_may_run_once_gets_no_connection_that_rested_long(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(backends, "has_bytes", lambda _: False)
+
+    async def play() -> None:
+        loop = asyncio.get_running_loop()
+        pool, backend = Pool(loop, 8), Backend("i", "s", ("127.0.0.1", 1), "z", 0, 2, 0.0)
+        connection = Connection(pool, backend)
+        connection.connection_made(Wire())  # type: ignore[arg-type]
+        pool._rest(connection)
+        connection.idle_since = loop.time() - 0.8 * connection.idle_most
+        assert list(pool.connected(loop.time(), mutating=True)) == []
+        assert pool._rested(backend, mutating=True) is None
+        assert list(pool.connected(loop.time(), mutating=False)) == ["i"]
+        assert pool._rested(backend, mutating=False) is connection
+
+    asyncio.run(play())
