--- a/irisdeal/gauge/desk.py
+++ b/irisdeal/gauge/desk.py
@@ -16,8 +16,9 @@
 from irisdeal.barometer.edge import LENGTH, Edge
 from irisdeal.barometer.tokens import Rule, Tokens, share
 from irisdeal.gauge.registry import Registry, State
+from irisdeal.isobar.answers import NONE, OVER_BUDGET, OVER_QUOTA, POOLED, WAIT, How
 from irisdeal.isobar.loads import Loads, key
-from irisdeal.isobar.placing import How, Placer
+from irisdeal.isobar.placing import Placer
 from irisdeal.mast.settings import Settings
 from irisdeal.telegraph.link import LATER
 
@@ -25,16 +26,11 @@
 GRACE = 0.5  # s beyond the door's own time that a place counts, if its door says nothing
 
 SUM_AT = 0.45  # of an interval, when the sum of the one before is told: doors have told theirs by 0.3
-POOLED = 0.7  # of the slack of repeats that registries give out; the rest is for doors that hear none
 IDLE = 30.0  # s after which a tenant that asks for nothing is forgotten: its tokens are full by then
 
 DENIED = 0.1  # s that nobody is asked to lend after a no
 Lend = Callable[[str, str, float], Awaitable[float]]  # registry, tenant, wanted
 
-NONE = [0, "", 0.0]  # no place
-OVER_QUOTA = [-1, "", 0.0]
-OVER_BUDGET = [-2, "", 0.0]
-WAIT = [-3, "", 0.0]  # no room yet: ask again with `wait`
 
 
 class Desk:
--- a/irisdeal/http1/server.py
+++ b/irisdeal/http1/server.py
@@ -236,9 +236,15 @@
         self.listening: asyncio.Server | None = None
         self.looking: asyncio.TimerHandle | None = None
 
-    async def listen(self, address: tuple[str, int], backlog: int = 1024) -> None:
-        self.listening = await self.loop.create_server(
-            lambda: Connection(self), *address, backlog=backlog, reuse_address=True)
+    async def listen(
+        self, address: tuple[str, int], backlog: int = 1024, sock: socket.socket | None = None,
+    ) -> None:
+        """Serve at an address, or at a socket that listens there already."""
+        if sock is not None:
+            self.listening = await self.loop.create_server(lambda: Connection(self), sock=sock, backlog=backlog)
+        else:
+            self.listening = await self.loop.create_server(
+                lambda: Connection(self), *address, backlog=backlog, reuse_address=True)
         self._look()
 
     def _look(self) -> None:
--- a/irisdeal/isobar/placing.py
+++ b/irisdeal/isobar/placing.py
@@ -17,8 +17,8 @@
 import random
 from collections.abc import Hashable, Iterable
 from dataclasses import dataclass, field
-from enum import IntEnum
 
+from irisdeal.isobar.answers import How
 from irisdeal.isobar.loads import key
 from irisdeal.wind.choice import Backend, Wind
 
@@ -35,17 +35,6 @@
 FREE = 1.0  # requests for each slot up to which a backend has room
 
 
-class How(IntEnum):
-    """The end of an attempt, as its door tells it."""
-
-    GOOD = 0  # a whole answer
-    POOR = 1  # a whole answer, 5xx of its own
-    FULL = 2  # turned away: its queue is full
-    ENDED = 3  # another life stands there
-    FAILED = 4  # broken off, refused, no answer in the protocol
-    UNKNOWN = 5  # its time was over, nobody waited, or it was never used
-
-
 @dataclass(slots=True)
 class Place:
     """One request at one backend, until its door tells its end."""
--- a/irisdeal/squall/fleet.py
+++ b/irisdeal/squall/fleet.py
@@ -14,8 +14,9 @@
 from irisdeal.barometer.edge import LENGTH, Edge
 from irisdeal.barometer.quota import Quota
 from irisdeal.barometer.tokens import Rule, Tokens
-from irisdeal.gauge.desk import OVER_QUOTA, SUM_AT, Desk
+from irisdeal.gauge.desk import SUM_AT, Desk
 from irisdeal.gauge.registry import Registry
+from irisdeal.isobar.answers import OVER_QUOTA
 from irisdeal.mast.settings import Settings
 from irisdeal.telegraph.link import LATER
 
--- a/irisdeal/vane/__main__.py
+++ b/irisdeal/vane/__main__.py
@@ -2,8 +2,11 @@
 
 import sys
 
-from irisdeal.mast.process import main
-from irisdeal.vane.door import Door
+from irisdeal.mast.early import listen
 
 if __name__ == "__main__":
-    sys.exit(main(Door))
+    listening = listen("front", "readiness")  # before the rest is loaded, which takes longer than all else
+    from irisdeal.mast.process import main
+    from irisdeal.vane.door import Door
+
+    sys.exit(main(lambda settings: Door(settings, listening)))
--- a/irisdeal/vane/door.py
+++ b/irisdeal/vane/door.py
@@ -21,12 +21,12 @@
 from irisdeal.barometer.edge import LENGTH, Edge
 from irisdeal.barometer.quota import Quota
 from irisdeal.barometer.tokens import Rule
-from irisdeal.gauge.desk import OVER_BUDGET, OVER_QUOTA, POOLED
 from irisdeal.gauge.registry import Life, State
 from irisdeal.http1.framing import HOP, aliased
 from irisdeal.http1.server import Answer, HttpServer, Request
+from irisdeal.isobar.answers import OVER_BUDGET, OVER_QUOTA, POOLED, How
 from irisdeal.isobar.loads import key
-from irisdeal.isobar.placing import How
+from irisdeal.mast.early import Listening
 from irisdeal.mast.events import invariant, tell
 from irisdeal.mast.process import Tasks
 from irisdeal.mast.settings import Settings, address
@@ -97,8 +97,9 @@
 class Door:
     """The proxy's process."""
 
-    def __init__(self, settings: Settings) -> None:
-        self.settings = settings
+    def __init__(self, settings: Settings, listening: Listening | None = None) -> None:
+        """`listening`: sockets at which this process listens already, by their name in `bind`."""
+        self.settings, self.listening = settings, listening or {}
         self.loop = asyncio.get_running_loop()
         self.chance = random.Random()
         self.table: Table | None = None
@@ -129,8 +130,8 @@
     async def start(self) -> None:
         self.sources.start()
         self.tasks.start(self._counting())
-        await self.front.listen(address(self.settings.bind.front))
-        await self.readiness.listen(address(self.settings.bind.readiness))
+        await self.front.listen(address(self.settings.bind.front), sock=self.listening.get("front"))
+        await self.readiness.listen(address(self.settings.bind.readiness), sock=self.listening.get("readiness"))
 
     async def stop(self) -> None:
         """Not ready at once; answer on; end when the last answer is out, or just before the grace is over."""
--- a/irisdeal/vane/sources.py
+++ b/irisdeal/vane/sources.py
@@ -11,8 +11,8 @@
 
 from irisdeal.almanac.word import NOTHING, Stamp, Word
 from irisdeal.barometer.counter import Figures
-from irisdeal.gauge.desk import NONE, WAIT
 from irisdeal.gauge.registry import Life, State, hear_life, tell_life
+from irisdeal.isobar.answers import NONE, WAIT
 from irisdeal.mast import places
 from irisdeal.mast.events import invariant, tell
 from irisdeal.mast.process import Tasks
--- a/tests/features/steps/place_steps.py
+++ b/tests/features/steps/place_steps.py
@@ -8,8 +8,9 @@
 
 from behave import given, then, when
 
+from irisdeal.isobar.answers import How
 from irisdeal.isobar.loads import TELL, Loads
-from irisdeal.isobar.placing import How, Placer
+from irisdeal.isobar.placing import Placer
 from irisdeal.wind.choice import Backend, Wind
 
 WORK = 0.09  # s, mean
--- /dev/null
+++ b/tests/test_early.py
@@ -0,0 +1,31 @@
+"""Listening before all else."""
+
+import socket
+from pathlib import Path
+
+import pytest
+
+from irisdeal.mast.early import addresses, listen
+
+
+def test_only_the_section_bind_is_read_and_odd_lines_are_left() -> None:
+    text = ('front = "1.1.1.1:1"\n[bind]\nfront = "10.1.0.30:8782"\nreadiness = "odd"\n'
+            '[limits]\nreadiness = "10.1.0.30:8789"\n')
+    assert addresses(text, ("front", "readiness")) == {"front": ("10.1.0.30", 8782)}
+
+
+def test_who_connects_before_the_program_is_loaded_waits(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    settings = tmp_path / "settings.toml"
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))
+        port = free.getsockname()[1]
+    settings.write_text(f'[bind]\nfront = "127.0.0.1:{port}"\n')
+    monkeypatch.setenv("IRISDEAL_SETTINGS", str(settings))
+    listening = listen("front", "readiness")
+    with socket.create_connection(("127.0.0.1", port), 5), listening["front"]:
+        assert list(listening) == ["front"]
+
+
+def test_settings_that_are_not_there_are_left_to_the_checked_reading(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setenv("IRISDEAL_SETTINGS", "/nowhere/settings.toml")
+    assert listen("front") == {}
