--- a/irisdeal/barometer/quota.py
+++ b/irisdeal/barometer/quota.py
@@ -17,6 +17,7 @@
 from irisdeal.barometer.edge import LENGTH
 from irisdeal.barometer.tokens import ALONE_DEPTH, ALONE_FIRST, Rule, alone
 
+SPARE = 3.0  # requests of an interval that chance lets through beyond: a small tenant asks in clumps
 THIN = 1.25  # times the room that chance lets through: tokens are to bind, chance only to spare the claims
 BORN = 0.25  # of the part of a door that is alone, while it has never heard a total
 
@@ -50,7 +51,7 @@
 
     def told(self, own: float, asked: float, late: float, left: float, doors: int) -> None:
         """A finished total: what was asked of us and of all doors in an interval, the tokens left of all."""
-        room, fresh = THIN * (self.rate * LENGTH + left), asked - late
+        room, fresh = THIN * (self.rate * LENGTH + left) + SPARE, asked - late
         self.refusal = chance(fresh, room)
         self.refusal_late = chance(late, max(0.0, room - fresh))
         self.total, self.doors = asked, doors
--- a/tests/features/quotas.feature
+++ b/tests/features/quotas.feature
@@ -86,3 +86,19 @@
       | 11    | 3          | 70   | 11   | 0.1     |
       | 11    | 3          | 5    | 12   | 0.5     |
       | 85    | 4          | 5    | 12   | 0.9     |
+
+  Scenario Outline: the judge finds what is planted
+    Given <doors> doors, 4 registries and a tenant of 150 a second, seed <seed>
+    And in the registries is planted: <bug>
+    When it asks for 0.62 times that from second 0 to 12
+    And it asks for 9 times that from second 12 to 22
+    And 60 percent of the doors hear nothing from second 12.5 to 25
+    And <killed> registries are killed at second 14 and back at 14.8
+    Then the judge finds a window with more than the rule allows by second 30
+
+    Examples:
+      | doors | seed | killed | bug                                   |
+      | 8     | 1    | 0      | a lender keeps what it lent           |
+      | 8     | 1    | 4      | one that starts takes all of the rate |
+      | 11    | 2    | 0      | nothing is left to doors alone        |
+      | 8     | 3    | 0      | a claim takes no token                |
--- a/tests/features/steps/quota_steps.py
+++ b/tests/features/steps/quota_steps.py
@@ -6,6 +6,8 @@
 
 from behave import given, then, when
 
+from irisdeal.barometer.tokens import Tokens
+from irisdeal.gauge.desk import Desk
 from irisdeal.squall.fleet import Fleet
 
 
@@ -57,3 +59,41 @@
     fleet = context.fleet
     ran = sum(since <= at < until for at in fleet.ran)
     assert ran >= fleet.rate * (until - since) * percent / 100, (ran, fleet.rate * (until - since))
+
+
+def _planted(bug: str) -> tuple[type, str, Any]:
+    """The class, the name and what stands there instead."""
+    claim, lend, told = Tokens.claim, Tokens.lend, Tokens.told
+    match bug:
+        case "a lender keeps what it lent":
+            def lend_and_keep(self: Tokens, wanted: float, now: float) -> float:
+                given = lend(self, wanted, now)
+                self.tokens += given
+                return max(given, 5.0)
+            return Tokens, "lend", lend_and_keep
+        case "one that starts takes all of the rate":
+            return Desk, "_registries", lambda self: 1
+        case "nothing is left to doors alone":
+            return Tokens, "told", lambda self, share, now: told(self, max(share, 0.25), now)
+        case "a claim takes no token":
+            def claim_free(self: Tokens, now: float, is_late: bool = False) -> bool:
+                had = claim(self, now, is_late)
+                self.tokens += had
+                return had
+            return Tokens, "claim", claim_free
+    raise ValueError(bug)
+
+
+@given("in the registries is planted: {bug}")
+def _(context: Any, bug: str) -> None:
+    owner, name, instead = _planted(bug)
+    kept = getattr(owner, name)
+    setattr(owner, name, instead)
+    context.add_cleanup(setattr, owner, name, kept)
+
+
+@then("the judge finds a window with more than the rule allows by second {until:g}")
+def _(context: Any, until: float) -> None:
+    fleet = context.fleet
+    fleet.play(until)
+    assert fleet.most(5.0) > fleet.allowed(5.0), (fleet.most(5.0), fleet.allowed(5.0))
