Doors that fall silent keep a little of the quota where tokens were left

Change: 0.15 s of the rate and half of the slack, shared over doors, where over half of the tokens were left at the last total; the sum's bound is told in tokens.py.

--- a/irisdeal/barometer/quota.py
+++ b/irisdeal/barometer/quota.py
@@ -6,9 +6,10 @@
 each request claims a token at a registry (`tokens.py`), which is what holds the rule: chance works on news that
 is an interval old, so alone it lets a flood's first second through and thins one that is over.
 
-A door that no registry answers has `tokens.alone` of the rate, and begins with nothing. Over all doors these
-parts sum to one, so what they let run together is bounded as the registries' parts are. Parts are fractions of a
-request for a small tenant at many doors; they go by a draw, so that the sum is what it should be.
+A door that no registry answers has `tokens.alone` of the rate, and of what is saved for such doors, where tokens
+were left. Over all doors these parts sum to one, so what they let run together is bounded as the registries'
+parts are. Parts are fractions of a request for a small tenant at many doors; they go by a draw, so that the sum
+is what it should be.
 """
 
 from __future__ import annotations
@@ -34,7 +35,7 @@
         self.name, self.rule, self.rate, self.burst = name, rule, rate, burst
         self.asked = self.late = 0
         self.refusal = self.refusal_late = self.total = 0.0
-        self.doors, self.part = 1, 0.0
+        self.doors, self.part, self.left = 1, 0.0, 0.0
         self.heard = False
         self.tokens, self.filled = 0.0, now
         self.is_alone, self.alone_since = False, now
@@ -54,7 +55,7 @@
         room, fresh = THIN * (self.rate * LENGTH + left) + SPARE, asked - late
         self.refusal = chance(fresh, room)
         self.refusal_late = chance(late, max(0.0, room - fresh))
-        self.total, self.doors = asked, doors
+        self.total, self.doors, self.left = asked, doors, left
         new = alone(own, asked, doors)
         self.part = self.part + DRIFT * (new - self.part) if self.heard else new
         self.heard = True
@@ -75,10 +76,12 @@
             return True
         rate = self.rate * (self.part if self.heard else BORN / max(1, doors))
         if not self.is_alone:
-            self.is_alone, self.alone_since, self.tokens, self.filled = True, now, 0.0, now
+            self.is_alone, self.alone_since, self.filled = True, now, now
+            full = min(1.0, self.left / self.rule.depth(self.rate, self.burst))
+            self.tokens = self.part * self.rule.saved(self.rate) * max(0.0, 2 * full - 1)
         if now - self.alone_since < ALONE_FIRST:
             rate /= 2
-        self.tokens = min(rate * ALONE_DEPTH, self.tokens + rate * (now - self.filled))
+        self.tokens = max(self.tokens, min(rate * ALONE_DEPTH, self.tokens + rate * (now - self.filled)))
         self.filled = now
         if self.tokens <= draw:
             return False
--- a/irisdeal/barometer/tokens.py
+++ b/irisdeal/barometer/tokens.py
@@ -14,8 +14,9 @@
 slack is there for small tenants, whose asks come in clumps of more than their burst. What is left of A covers
 what moves while totals are on their way:
 
-- doors with a part l of the demand fall silent: ALONE_FIRST x l / 2 x rate, until their registry leaves it to
-  them;
+- doors with a part l of the demand fall silent: ALONE_FIRST x l / 2 x rate, until all registries leave it to them,
+  and l of what is saved for them, where tokens were left. For w = 5 and burst = rate the sum is most at l = 0.6:
+  6.6 rate + 16.5 of A = 6.6 rate + 20;
 - registries start again and have forgotten what they gave: START x depth of their parts, and DOWN s of refill that
   others may have given meanwhile (nobody has, where all were down);
 - demand moves from one registry to another: what its part moves by in an interval.
@@ -35,6 +36,7 @@
 DOWN = 0.45  # s that a machine is down at least before its registry starts: what its part would have refilled by
 EVEN = 0.5  # of what doors that are alone share, that goes by the count of doors; the rest by their demand
 ALONE_DEPTH = 1.0  # s of its part of the rate that a door which is alone may save up
+ALONE_RATE, ALONE_SLACK = 0.15, 0.5  # s of the rate, and of the slack, that doors which fall silent may use at once
 ALONE_FIRST = 2.2  # s at first in which it has half of its part: until all registries know that it is silent
 
 
@@ -58,6 +60,10 @@
         """Requests a second that may run for long, all doors together."""
         return rate + (SPREAD * burst + SPREAD_SLACK * self.margin(rate, burst)) / self.window
 
+    def saved(self, rate: float) -> float:
+        """Requests that doors which have just fallen silent may run at once, all together."""
+        return ALONE_RATE * rate + ALONE_SLACK * self.slack
+
     def margin(self, rate: float, burst: float) -> float:
         """Requests of a window that are given out beyond rate and burst: m above."""
         return OF_EXCESS * self.excess * (rate * self.window + burst) + OF_SLACK * self.slack
