--- a/irisdeal/gauge/desk.py
+++ b/irisdeal/gauge/desk.py
@@ -84,7 +84,7 @@
         repeats = self._repeats(service)
         if not again:
             repeats.request(now)
-        elif not repeats.spend(now, self._registries()):
+        elif not repeats.spend(now, self.members()):
             return OVER_BUDGET
         placed = self._place(peer, zone, service, usual, avoid, now, time, False, connected)
         return placed or (NONE if hold <= 0 else WAIT)
@@ -186,16 +186,12 @@
         for name, tokens in self.tokens.items():
             tokens.change(*self.limits.get(name, (0.0, 0.0)))
 
-    def _registries(self) -> int:
-        """How many share with us: those of the last total; before there is one, all of the core."""
-        return self.counter.total.registries if self.counter.total.number >= 0 else max(1, self.members())
-
     def _tokens(self, tenant: str, now: float) -> Tokens:
         tokens = self.tokens.get(tenant)
         if tokens is None:
             rate, burst = self.limits.get(tenant, (0.0, 0.0))
             tokens = self.tokens[tenant] = Tokens(
-                self.rule, rate, burst, self._registries(), now - self.born, now)
+                self.rule, rate, burst, self.members(), now - self.born, now)
         return tokens
 
     def _lender(self, tenant: str, now: float) -> str | None:
@@ -277,7 +273,11 @@
         return [round(self.edge.position(now), 4), number, sums, doors]
 
     def finish(self, number: int) -> None:
-        """The total of an interval is finished: our parts by it."""
+        """The total of an interval is finished: our parts by it.
+
+        What nobody asks for is shared by all of the core, those that are silent too: one that has just started has
+        heard nobody, and would take all for itself.
+        """
         now = self.loop.time()
         total = self.counter.finish(number, now)
         for tenant, tokens in list(self.tokens.items()):
@@ -285,5 +285,5 @@
                 del self.tokens[tenant]
             elif tokens.rate > 0:
                 own, demand = total.own.get(tenant, NOUGHT)[5], total.figures.get(tenant, NOUGHT)[5]
-                part = share(own, demand, tokens.rate, LENGTH, total.registries)
+                part = share(own, demand, tokens.rate, LENGTH, self.members())
                 tokens.told(part * max(0.0, 1.0 - total.figures.get(tenant, NOUGHT)[4]), now)
--- a/tests/features/steps/quota_steps.py
+++ b/tests/features/steps/quota_steps.py
@@ -61,6 +61,18 @@
     assert ran >= fleet.rate * (until - since) * percent / 100, (ran, fleet.rate * (until - since))
 
 
+def _all_at_once(usual: Any) -> Any:
+    """Of a new tenant's tokens, the part is one."""
+    def tokens(self: Desk, tenant: str, now: float) -> Tokens:
+        is_new = tenant not in self.tokens
+        made: Tokens = usual(self, tenant, now)
+        if is_new:
+            made.share, made.credit = 1.0, 4 * made.credit
+            made.tokens = made.depth()
+        return made
+    return tokens
+
+
 def _planted(bug: str) -> tuple[type, str, Any]:
     """The class, the name and what stands there instead."""
     claim, lend, told = Tokens.claim, Tokens.lend, Tokens.told
@@ -72,7 +84,7 @@
                 return max(given, 5.0)
             return Tokens, "lend", lend_and_keep
         case "one that starts takes all of the rate":
-            return Desk, "_registries", lambda self: 1
+            return Desk, "_tokens", _all_at_once(Desk._tokens)
         case "nothing is left to doors alone":
             return Tokens, "told", lambda self, share, now: told(self, max(share, 0.25), now)
         case "a claim takes no token":
