Tests for who gets the tokens and the chance when requests come back too late

Need: on the last reading, breaking FRESH in tokens.py failed no test. Change: two tests, of tokens kept for those still inside their aim and of chance that takes late ones first; the first fails with FRESH at nought.

--- a/tests/test_counted.py
+++ b/tests/test_counted.py
@@ -10,6 +10,7 @@
 
 from irisdeal.barometer.counter import NOUGHT, Counter
 from irisdeal.barometer.edge import LENGTH, Edge
+from irisdeal.barometer.quota import Quota
 from irisdeal.barometer.tokens import Rule, Tokens, alone, share
 
 
@@ -96,3 +97,19 @@
             first += 1
         bound = max(1.0, rule.depth(rate, burst)) + rule.window * rule.refill(rate, burst)
         assert last - first + 1 <= bound + 1 <= rule.allowed(rate, burst) + 1
+
+
+def test_a_third_of_the_tokens_is_kept_from_those_that_come_too_late() -> None:
+    tokens = Tokens(Rule(), 30.0, 30.0, 1, 99.0, 0.0)
+    late = sum(tokens.claim(0.0, is_late=True) for _ in range(99))
+    fresh = sum(tokens.claim(0.0) for _ in range(99))
+    assert fresh >= 0.3 * (late + fresh) > 0 and late > 0
+
+
+def test_chance_takes_those_that_come_too_late_first() -> None:
+    quota = Quota("t", Rule(), 20.0, 20.0, 0.0)
+    quota.told(1.0, 30.0, 20.0, 0.0, 8)  # 30 asks of an interval, 20 of them late; room for 15.5
+    assert quota.refusal == 0.0 and 0.5 < quota.refusal_late < 1.0
+    assert quota.ask(0.1) and not quota.ask(0.1, is_late=True)
+    quota.told(1.0, 0.0, 0.0, 20.0, 8)
+    assert quota.ask(0.0, is_late=True)
