--- /dev/null
+++ b/irisdeal/almanac/register.py
@@ -0,0 +1,192 @@
+"""The register: one value, changed by ballots. No log, no leader, no input or output here.
+
+It is Paxos' single decree used again and again on one value (compare-and-swap Paxos, Rystsov 2018): a ballot
+first gets promises from a quorum, takes over the value of the highest ballot that any of them accepted, changes
+it by a function, and gets it accepted by a quorum. A value that a quorum accepted under one ballot is decided,
+and each later ballot starts from it.
+
+Rules that must hold here:
+1. An acceptor answers a promise or an accept only after `Kept` is synced.
+2. It accepts a ballot that is not under its promise, and promises only higher ones.
+3. It accepts a value only when it holds the body that the value names, synced.
+4. A ballot's quorum is one of the list that the proposer knew, of the list of the value that it took over (and
+   of that one's former list), and, for the accept, of the list in the value that it proposes.
+5. A seat proposes each ballot once: `Ballot.count` is over all that its own disk has promised, and a new disk
+   is a new seat.
+6. What is in force, or read, or told as confirmed is decided. A value is known as decided by a quorum's equal
+   accepts.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from enum import IntEnum
+from typing import Any
+
+from irisdeal.almanac.members import Members
+from irisdeal.almanac.word import NOTHING, Stamp
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Ballot:
+    """Ordered by its count, then by the seat that proposes."""
+
+    count: int
+    seat: str
+
+    def tell(self) -> list[Any]:
+        return [self.count, self.seat]
+
+    @staticmethod
+    def hear(told: list[Any]) -> Ballot:
+        return Ballot(int(told[0]), str(told[1]))
+
+
+NO_BALLOT = Ballot(0, "")
+
+
+@dataclass(frozen=True, slots=True)
+class Value:
+    """What the register holds. `change` rises by one with each change that is decided: the term of all control."""
+
+    change: int
+    stamp: Stamp
+    members: Members
+
+    @staticmethod
+    def first(members: Members) -> Value:
+        return Value(0, NOTHING, members)
+
+    def tell(self) -> list[Any]:
+        return [self.change, self.stamp.number, self.stamp.digest, self.members.tell()]
+
+    @staticmethod
+    def hear(told: list[Any]) -> Value:
+        change, number, digest, members = told
+        return Value(int(change), Stamp(int(number), bytes(digest)), Members.hear(members))
+
+
+@dataclass(frozen=True, slots=True)
+class Kept:
+    """What an acceptor has on its disk."""
+
+    promised: Ballot
+    accepted: Ballot
+    value: Value
+
+    def tell(self) -> list[Any]:
+        return [self.promised.tell(), self.accepted.tell(), self.value.tell()]
+
+    @staticmethod
+    def hear(told: list[Any]) -> Kept:
+        return Kept(Ballot.hear(told[0]), Ballot.hear(told[1]), Value.hear(told[2]))
+
+
+def on_prepare(kept: Kept, ballot: Ballot) -> tuple[bool, Kept]:
+    """Whether it is promised, and what to keep, synced, before the answer; refused: `kept` tells what is higher."""
+    if ballot <= kept.promised:
+        return False, kept
+    return True, replace(kept, promised=ballot)
+
+
+def on_accept(kept: Kept, ballot: Ballot, value: Value) -> tuple[bool, Kept]:
+    """Whether it is accepted, and what to keep, synced, before the answer. The body must be held before."""
+    if ballot < kept.promised:
+        return False, kept
+    return True, Kept(ballot, ballot, value)
+
+
+Change = Callable[[Value], Value]  # the value that holds -> the one wanted; itself where nothing is to change
+
+
+def put(stamp: Stamp) -> Change:
+    """The operator's word under its number, where that is above the one that holds; else nothing changes."""
+
+    def change(value: Value) -> Value:
+        return replace(value, change=value.change + 1, stamp=stamp) if stamp.number > value.stamp.number else value
+
+    return change
+
+
+def set_members(members: Members) -> Change:
+    """The next list, where it follows the one that holds; else nothing changes."""
+
+    def change(value: Value) -> Value:
+        now = value.members
+        follows = (members.number == now.number + 1 and members.former == now.seats and not now.former) or (
+            members == now.settled() and bool(now.former))
+        return replace(value, change=value.change + 1, members=members) if follows else value
+
+    return change
+
+
+def same(value: Value) -> Value:
+    """No change: what is there is made safe, for a read."""
+    return value
+
+
+class Step(IntEnum):
+    """Where a ballot stands."""
+
+    PREPARING = 0  # ask `targets()` for a promise
+    ACCEPTING = 1  # ask `targets()` to accept `value`
+    DECIDED = 2  # `value` is decided
+    LOST = 3  # a higher ballot, `above`, was met: begin anew over it, after a pause
+
+
+@dataclass
+class Round:
+    """One ballot of a proposer. `known`: the newest list that it knows to be decided."""
+
+    ballot: Ballot
+    known: Members
+    change: Change
+    step: Step = Step.PREPARING
+    promised: dict[str, Kept] = field(default_factory=dict)
+    accepted: set[str] = field(default_factory=set)
+    above: Ballot = NO_BALLOT
+    base: Value | None = None  # what was taken over
+    value: Value | None = None  # what is proposed
+
+    def lists(self) -> list[Members]:
+        """Each must have its quorum."""
+        values = [value for value in (self.base, self.value) if value is not None]
+        return list(dict.fromkeys([self.known, *(value.members for value in values)]))
+
+    def targets(self) -> frozenset[str]:
+        """The seats to be asked, also those that have answered."""
+        newest = self._highest()
+        more = newest.value.members.voters() if newest is not None else frozenset()
+        return frozenset().union(more, *(members.voters() for members in self.lists()))
+
+    def _highest(self) -> Kept | None:
+        return max(self.promised.values(), key=lambda kept: kept.accepted, default=None)
+
+    def on_promise(self, seat: str, good: bool, kept: Kept) -> Step:
+        """A seat's answer to the prepare of this ballot."""
+        if self.step is not Step.PREPARING:
+            return self.step
+        if not good:
+            self.above, self.step = max(self.above, kept.promised), Step.LOST
+            return self.step
+        self.promised[seat] = kept
+        highest = self._highest()
+        assert highest is not None
+        if self.known.is_quorum(self.promised) and highest.value.members.is_quorum(self.promised):
+            self.base = highest.value
+            self.value = self.change(self.base)
+            self.step = Step.ACCEPTING
+        return self.step
+
+    def on_accept(self, seat: str, good: bool, promised: Ballot) -> Step:
+        """A seat's answer to the accept of this ballot."""
+        if self.step is not Step.ACCEPTING:
+            return self.step
+        if not good:
+            self.above, self.step = max(self.above, promised), Step.LOST
+            return self.step
+        self.accepted.add(seat)
+        if all(members.is_quorum(self.accepted) for members in self.lists()):
+            self.step = Step.DECIDED
+        return self.step
