--- a/irisdeal/almanac/members.py
+++ b/irisdeal/almanac/members.py
@@ -52,7 +52,8 @@
     def is_quorum(self, heard: Iterable[str]) -> bool:
         """Whether these are a majority of the list, and of the list before it while a change is under way."""
         heard = set(heard)
-        return all(len(heard & set(seats)) >= majority(seats) for seats in (self.seats, self.former) if seats)
+        lists = [seats for seats in (self.seats, self.former) if seats]
+        return bool(lists) and all(len(heard & set(seats)) >= majority(seats) for seats in lists)
 
     def ips(self) -> frozenset[str]:
         """The machines of all that may count."""
