--- a/irisdeal/almanac/succession.py
+++ b/irisdeal/almanac/succession.py
@@ -8,12 +8,13 @@
 2. Another disk at a member's address takes that member's seat once it is ready: the disk of the old seat is gone.
    A machine that missed the start comes in this way, too.
 3. A ready learner takes the seat of a member that is dead (`DEAD`), else of one that is leaving.
-4. Without a successor a dead member is dropped only where that lets the rest stand a loss which they could not
-   stand before (4 with 1 dead -> 3; 5 with 2 dead -> 4 -> 3; never 5 with 1 dead), and never below `least`.
-   A leaver without a successor is not dropped: most come back within a second or two.
-5. A ready learner is added while fewer than `most` vote, but only while each member was heard within `QUIET`:
-   where one is silent, the learner may be its successor. One more than an odd number stands no further loss, so
-   there it must have been heard for `sync` without a break first; that keeps a cut that flaps from churning.
+4. Without a successor for `LOST` a dead member is dropped only where that lets the rest stand a loss which they
+   could not stand before (4 with 1 dead -> 3; 5 with 2 dead -> 4 -> 3; never 5 with 1 dead), and never below
+   `least`. A leaver without a successor is not dropped: most come back within a second or two.
+5. A ready learner is added while fewer than `most` vote, but only while each member was heard within `QUIET`, and
+   over `least` only when it has been heard for `DEAD` without a break: where one falls silent, the learner may be
+   its successor. One more than an odd number stands no further loss, so there it must have been heard for `sync`;
+   that keeps a cut that flaps from churning.
 6. A list that could not stand the loss of a zone or region that must be borne changes a member of the fullest
    one for a ready learner elsewhere, where that helps.
 7. More than `most`: one goes, the dead first.
@@ -46,8 +47,10 @@
 from irisdeal.almanac.members import Members, ip_of, majority
 from irisdeal.almanac.register import Value
 from irisdeal.almanac.report import Report
+from irisdeal.almanac.word import NOTHING
 
 DEAD = 2.0  # s of silence: four rounds; a process that is killed and started again is back within one
+LOST = 3.0  # s of silence after which no successor is waited for: a new machine is up and ready within it
 QUIET = 1.2  # s: two rounds of 0.5 and an answer; whoever was heard within it is well
 TURN = 1.0  # s that each next proposer leaves to the ones before it: many ballots' time
 LAG = 4  # changes that a learner's word may be behind: made between two rounds at 160 in 22 s
@@ -134,7 +137,10 @@
         return any(other.at > at and other.report.ip == ip for other in self.reports.values())
 
     def well(self, seat: str) -> bool:
-        return self.silence(seat) < QUIET and not self.wiped(seat)
+        """Whether it was heard within `QUIET`, whatever this process has missed."""
+        if seat == self.own:
+            return True
+        return seat in self.reports and self.now - self.reports[seat].at < QUIET and not self.wiped(seat)
 
     def live(self, seats: Iterable[str]) -> Seats:
         return frozenset(seat for seat in seats if self.silence(seat) < DEAD and not self.wiped(seat))
@@ -149,9 +155,14 @@
     def ready(self) -> list[str]:
         """Learners that have caught up."""
         return sorted(seat for seat, heard in self.reports.items()
-                      if seat not in self.seats and not heard.report.leaving and heard.report.holds
-                      and heard.report.decided.change >= self.value.change - LAG
-                      and self.well(seat))
+                      if seat not in self.seats and not heard.report.leaving and self.well(seat)
+                      and self.has_caught_up(heard.report))
+
+    def has_caught_up(self, report: Report) -> bool:
+        """Whether it holds the body of the newest change, or of one at most `LAG` before it."""
+        known = report.decided
+        return (report.holds and known.change >= max(0, self.value.change - LAG)
+                and (known.stamp != NOTHING or self.value.stamp == NOTHING))
 
     def others_ready(self) -> list[str]:
         """Those at addresses that no member has."""
@@ -201,7 +212,7 @@
     live = view.live(view.seats)
     if majority(view.seats) <= max(len(live), view.wanted.least) // 2 + 1:
         return None
-    silent = {seat for seat in view.seats if view.silence(seat) >= DEAD}  # a wiped one comes by rule 2
+    silent = {seat for seat in view.seats if view.silence(seat) >= LOST}  # a wiped one comes by rule 2
     return view.best(view.seats - {seat} for seat in silent)
 
 
@@ -210,7 +221,7 @@
     count = len(view.seats) + 1
     if count > view.wanted.most or not all(map(view.well, view.seats)):
         return None
-    steady = view.wanted.sync if count % 2 == 0 and count > view.wanted.least else 0.0
+    steady = 0.0 if count <= view.wanted.least else view.wanted.sync if count % 2 == 0 else DEAD
     return view.best(view.seats | {seat} for seat in view.others_ready()
                      if view.now - view.reports[seat].since >= steady)
 
