The store on one register: ballots, accepts synced, members by agreement

Nothing decided between two bodies under one number, a body was in force before a majority held it, and each member counted its majority over a list of its own. The store now keeps one register (acceptor, keeper, proposer, peers, member), and the registry beside it speaks watch, put and read of it. quorum.py goes: its counting is members.py's.

--- /dev/null
+++ b/irisdeal/almanac/acceptor.py
@@ -0,0 +1,151 @@
+"""A member as acceptor: what it promised, accepted and holds. Each act is synced before it returns.
+
+Acts on the disk come one after the other; what is told of the state (`kept`, `decided`) never waits for them.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from collections.abc import Callable, Coroutine
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any, TypeVar
+
+from irisdeal.almanac.files import Files
+from irisdeal.almanac.folder import DiskFolder, Folder
+from irisdeal.almanac.keeper import Keeper, State
+from irisdeal.almanac.members import FIRST, seat
+from irisdeal.almanac.register import NO_BALLOT, UNKNOWN, Ballot, Kept, Value, on_accept, on_prepare
+from irisdeal.almanac.shelf import Shelf
+from irisdeal.almanac.word import NOTHING, Stamp, Word
+from irisdeal.mast.events import invariant, tell
+from irisdeal.mast.process import Tasks
+
+T = TypeVar("T")
+ID = 8  # bytes of a disk's identity: no two of all disks ever are alike
+
+
+class Acceptor:
+    """One seat and its disk."""
+
+    def __init__(self, ip: str, path: str, folder: Folder | None, tasks: Tasks) -> None:
+        """`folder`: in place of the one at `path`."""
+        self.ip, self.tasks = ip, tasks
+        self.folder = folder or DiskFolder(path)
+        self.thread = ThreadPoolExecutor(1, "disk") if folder is None else None
+        self.files, self.keeper, self.shelf = Files(self.folder), Keeper(self.folder), Shelf()
+        self.lock = asyncio.Lock()
+        self.disk = ""
+        self.kept, self.decided = Kept(NO_BALLOT, NO_BALLOT, UNKNOWN), UNKNOWN
+        self.written = UNKNOWN  # the decided value that is on the disk
+        self.needed: dict[Stamp, Word] = {}  # bodies of what is accepted and decided, whatever else comes
+
+    @property
+    def seat(self) -> str:
+        return seat(self.ip, self.disk)
+
+    async def open(self, first: Value | None) -> None:
+        """`first`: the value of a system that starts for the first time; None on any other start. OSError."""
+        state = None
+        try:
+            state = await self._on_disk(self.keeper.open)
+        except ValueError as error:
+            tell(212, ip=self.ip, error=error)
+            first = None
+        for word in await self._on_disk(self.files.open):
+            self.shelf.hold(word)
+        if state is None:
+            value = first or UNKNOWN
+            state = State(FIRST if first else secrets.token_hex(ID), Kept(NO_BALLOT, NO_BALLOT, value), value)
+            await self._on_disk(self.keeper.write, state)
+            tell(211, seat=seat(self.ip, state.disk))
+        self.disk, self.kept, self.decided, self.written = state.disk, state.kept, state.decided, state.decided
+        self._need()
+
+    async def _on_disk(self, act: Callable[..., T], *given: Any) -> T:
+        return await asyncio.get_running_loop().run_in_executor(self.thread, act, *given)
+
+    async def _whole(self, act: Coroutine[Any, Any, T]) -> T:
+        """Goes to its end also where who asked for it goes away."""
+        return await asyncio.shield(self.tasks.start(act))
+
+    # Promises and accepts
+
+    async def prepare(self, ballot: Ballot) -> tuple[bool, Kept]:
+        """Whether it is promised, synced, and what is kept. OSError where the disk refuses."""
+        return await self._whole(self._prepare(ballot))
+
+    async def _prepare(self, ballot: Ballot) -> tuple[bool, Kept]:
+        async with self.lock:
+            good, kept = on_prepare(self.kept, ballot)
+            if good:
+                await self._write(kept)
+            return good, self.kept
+
+    async def accept(self, ballot: Ballot, value: Value) -> tuple[bool, Ballot] | None:
+        """Whether it is accepted, synced, and what is promised; None where the body is not here. OSError."""
+        return await self._whole(self._accept(ballot, value))
+
+    async def _accept(self, ballot: Ballot, value: Value) -> tuple[bool, Ballot] | None:
+        async with self.lock:
+            if not self.holds(value.stamp):
+                return None
+            good, kept = on_accept(self.kept, ballot, value)
+            if good and kept != self.kept:
+                await self._write(kept)
+            return good, self.kept.promised
+
+    async def _write(self, kept: Kept) -> None:
+        decided = self.decided
+        await self._on_disk(self.keeper.write, State(self.disk, kept, decided))
+        self.kept, self.written = kept, decided
+        self._need()
+
+    # What is decided
+
+    def learn(self, value: Value) -> bool:
+        """Whether this decided value is news. It is on the disk with the next act."""
+        if value.change <= self.decided.change:
+            return False
+        self.decided = value
+        self._need()
+        return True
+
+    async def save(self) -> None:
+        """The decided value on the disk. OSError."""
+        async with self.lock:
+            if self.written != self.decided:
+                await self._write(self.kept)
+
+    # Bodies
+
+    def _need(self) -> None:
+        stamps = {self.kept.value.stamp, self.decided.stamp} - {NOTHING}
+        self.needed = {stamp: word for stamp in stamps if (word := self.word(stamp)) is not None}
+
+    def word(self, stamp: Stamp) -> Word | None:
+        """This body, where it is here."""
+        return self.needed.get(stamp) or self.shelf.get(stamp.digest)
+
+    def holds(self, stamp: Stamp) -> bool:
+        """Whether this body is here, synced; nothing is always held."""
+        return stamp == NOTHING or (self.files.has(stamp) and self.word(stamp) is not None)
+
+    async def hold(self, word: Word) -> bool:
+        """Hold this body, synced; False where the disk refuses."""
+        if not invariant(word.is_whole(), "a word is kept whole", number=word.stamp.number):
+            return False
+        return await self._whole(self._hold(word))
+
+    async def _hold(self, word: Word) -> bool:
+        self.shelf.hold(word)
+        async with self.lock:
+            if not self.files.has(word.stamp):
+                try:
+                    await self._on_disk(self.files.keep, word, {self.kept.value.stamp, self.decided.stamp})
+                except OSError as error:
+                    tell(203, error=error)
+                    return False
+                tell(200, generation=f"r{word.stamp.number}", bytes=len(word.body))
+            self._need()
+        return True
--- a/irisdeal/almanac/files.py
+++ b/irisdeal/almanac/files.py
@@ -1,21 +1,20 @@
-"""The operator's word as plain files: temporary, synced, renamed, the folder synced. Calls here block.
+"""Bodies of words as plain files: temporary, synced, renamed, the folder synced. Calls here block.
 
 A file is its own proof: a line with the number, the digest and the length, then the body as it came. A torn,
-empty or strange file is passed over and told; the others of the core have the word and mend it.
+empty or strange file is passed over and told; the others of the core have the body.
 """
 
 from __future__ import annotations
 
 import hashlib
-import json
+from collections.abc import Collection
 
 from irisdeal.almanac.folder import Folder
 from irisdeal.almanac.word import Stamp, Word
 from irisdeal.mast.events import tell
 
-KEPT = 3  # versions on disk: the one that holds, and two before it for whoever looks
+KEPT = 3  # bodies on disk beside those that are needed: for whoever looks, and for ballots under way
 MAGIC = "irisdeal-word-1"
-ROSTER = "roster.json"
 
 
 def put(folder: Folder, name: str, data: bytes) -> None:
@@ -55,39 +54,37 @@
 
     def __init__(self, folder: Folder) -> None:
         self.folder = folder
+        self.stamps: dict[str, Stamp] = {}  # file -> what is in it, synced; the one kept last is the last
 
-    def _words(self) -> list[str]:
-        return [name for name in self.folder.names() if name.startswith("r") and name.endswith(".word")]
-
-    def open(self) -> tuple[Word | None, frozenset[str] | None]:
-        """The largest whole word, and the roster; None for the roster where the disk is empty."""
-        best: Word | None = None
-        for name in self._words():
+    def open(self) -> list[Word]:
+        """All whole words, synced, by number. OSError where the disk refuses."""
+        words = []
+        for name in self.folder.names():
+            if not (name.startswith("r") and name.endswith(".word")):
+                continue
             try:
                 word = decode(self.folder.read(name))
             except (OSError, ValueError) as error:
                 tell(204, file=name, error=error)
                 continue
-            if best is None or word.stamp > best.stamp:
-                best = word
-        return best, self._roster()
-
-    def _roster(self) -> frozenset[str] | None:
-        if ROSTER not in self.folder.names():
-            return None
-        try:
-            data = json.loads(self.folder.read(ROSTER))
-            return frozenset(str(ip) for ip in data["members"])
-        except (OSError, ValueError, KeyError, TypeError) as error:
-            tell(204, file=ROSTER, error=error)
-            return None
-
-    def keep(self, word: Word) -> None:
-        """Synced when it returns. OSError where the disk refuses."""
-        put(self.folder, f"r{word.stamp.number:018d}-{word.stamp.digest.hex()[:12]}.word", encode(word))
-        for name in self._words()[:-KEPT]:
-            self.folder.remove(name)  # needs no sync: one that is back is only an older version
-
-    def keep_roster(self, members: frozenset[str]) -> None:
-        """That there is a roster says that this disk was not lost."""
-        put(self.folder, ROSTER, json.dumps({"members": sorted(members)}).encode())
+            self.folder.sync(name)  # the process that wrote it may have been killed before it synced
+            self.stamps[name] = word.stamp
+            words.append(word)
+        if words:
+            self.folder.sync_names()
+        return words
+
+    def has(self, stamp: Stamp) -> bool:
+        """Whether this body is on the disk, synced."""
+        return stamp in self.stamps.values()
+
+    def keep(self, word: Word, needed: Collection[Stamp] = ()) -> None:
+        """Synced when it returns. `needed`: what must stay. OSError where the disk refuses."""
+        name = f"r{word.stamp.number:018d}-{word.stamp.digest.hex()[:16]}.word"
+        if name not in self.stamps:
+            put(self.folder, name, encode(word))
+            self.stamps[name] = word.stamp
+        spare = [other for other, stamp in self.stamps.items() if stamp not in needed and other != name]
+        for other in spare[:-KEPT]:
+            del self.stamps[other]
+            self.folder.remove(other)  # needs no sync: one that is back is only an older version
--- /dev/null
+++ b/irisdeal/almanac/peers.py
@@ -0,0 +1,126 @@
+"""The other machines of the core, as a member calls them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+from typing import Any
+
+from returns.result import Result, Success
+
+from irisdeal.almanac.acceptor import Acceptor
+from irisdeal.almanac.shelf import Arrivals, Have
+from irisdeal.almanac.word import NOTHING, Stamp, Word
+from irisdeal.mast import places
+from irisdeal.mast.process import Tasks
+from irisdeal.mast.settings import Settings
+from irisdeal.mast.trouble import Trouble
+from irisdeal.telegraph.link import Link
+
+PARCEL = 2.0  # s for one parcel: 64 KB on a link of 2 Mbit/s take 0.3, and the other's disk may be in trouble
+MOST_PARCELS = 400  # of one body: over 20 MB of pieces
+MOST_ARRIVING = 16  # callers whose bodies are on their way at once
+
+
+class Peers:
+    """Links to all machines of the core, and bodies to and from them."""
+
+    def __init__(self, settings: Settings, acceptor: Acceptor, tasks: Tasks) -> None:
+        self.settings, self.acceptor, self.tasks = settings, acceptor, tasks
+        self.links: dict[str, Link] = {}
+        self.newest: dict[str, Stamp] = {}  # machine -> the newest body that it said to hold
+        self.arriving: dict[tuple[str, bytes], Arrivals] = {}  # (caller, digest) -> what came so far
+
+    def link(self, ip: str) -> Link:
+        if ip not in self.links:
+            self.links[ip] = Link(places.at(self.settings, ip, places.ALMANAC), f"almanac {self.settings.ip}")
+        return self.links[ip]
+
+    async def call(self, ip: str, kind: str, body: Any, within: float) -> Result[Any, Trouble]:
+        return await self.link(ip).call(kind, body, within)
+
+    def tell(self, ip: str, kind: str, body: Any) -> None:
+        """One way: who misses it hears of it in the next round."""
+        link = self.link(ip)
+        if not link.tell(kind, body):
+            self.tasks.start(link.call(kind, body, PARCEL))
+
+    # Bodies
+
+    async def bring(self, ip: str, word: Word, have: Have) -> bool:
+        """Whether this body is there now, synced, in as many parcels as it takes. `have`: what it said last."""
+        for _ in range(MOST_PARCELS):
+            parcel = self.acceptor.shelf.parcel(have, word.stamp)
+            if parcel is None:
+                parcel = [word.stamp.number, word.stamp.digest, word.body]
+            answer = await self.call(ip, "bring", parcel, PARCEL)
+            if not isinstance(answer, Success):
+                return False
+            whole, told = answer.unwrap()
+            if whole:
+                return True
+            before, have = have, Have.hear(told)
+            if have == before:
+                return False
+        return False
+
+    def offer(self, word: Word, ips: Iterable[str]) -> None:
+        """Bring this body to all of them, without waiting for it."""
+        for ip in sorted(set(ips) - {self.settings.ip}):
+            self.tasks.start(self.bring(ip, word, Have(self.newest.get(ip, NOTHING))))
+
+    async def brought(self, peer: str, parcel: list[Any]) -> list[Any]:
+        """The other side: `[whole, what we have]`."""
+        key = peer, bytes(parcel[1])
+        arrivals = self.arriving.pop(key, None) or Arrivals(self.acceptor.shelf)
+        word = arrivals.take(parcel)
+        if word is None:
+            self.arriving[key] = arrivals
+            while len(self.arriving) > MOST_ARRIVING:
+                del self.arriving[next(iter(self.arriving))]
+        whole = word is not None and await self.acceptor.hold(word)
+        return [whole, arrivals.have(self.acceptor.decided.stamp).tell()]
+
+    async def fetch(self, ip: str, stamp: Stamp) -> Word | None:
+        """This body from there, synced here; None where it is not there or our disk refuses."""
+        arrivals = Arrivals(self.acceptor.shelf)
+        for _ in range(MOST_PARCELS):
+            have = arrivals.have(self.acceptor.decided.stamp)
+            answer = await self.call(ip, "fetch", [have.tell(), stamp.number, stamp.digest], PARCEL)
+            if not isinstance(answer, Success) or answer.unwrap() is None:
+                return None
+            word = arrivals.take(answer.unwrap())
+            if word is not None:
+                return word if word.stamp == stamp and await self.acceptor.hold(word) else None
+            if arrivals.have(self.acceptor.decided.stamp) == have:
+                return None
+        return None
+
+    def fetched(self, have: list[Any], number: int, digest: bytes) -> list[Any] | None:
+        """The other side: the next parcel."""
+        stamp = Stamp(number, digest)
+        word = self.acceptor.word(stamp)
+        if word is None:
+            return None
+        self.acceptor.shelf.hold(word)  # needed ones may have been put off the shelf
+        return self.acceptor.shelf.parcel(Have.hear(have), stamp)
+
+    async def body(self, stamp: Stamp, ips: list[str]) -> Word | None:
+        """This body: from here, or from the first of these machines that has it."""
+        if self.acceptor.holds(stamp):
+            return self.acceptor.word(stamp)
+        if (word := self.acceptor.word(stamp)) is not None and await self.acceptor.hold(word):
+            return word
+        for ip in ips:
+            if ip != self.settings.ip and (word := await self.fetch(ip, stamp)) is not None:
+                return word
+        return None
+
+    def close(self) -> None:
+        for link in self.links.values():
+            link.close()
+
+
+def now() -> float:
+    """s of the steady clock."""
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/irisdeal/almanac/proposer.py
@@ -0,0 +1,232 @@
+"""A member as proposer: ballots by `register.Round`, one at a time, and the orders that wait for them.
+
+Orders that come at one member while a ballot goes on wait for the next, and the one with the highest number
+goes: what is decided answers all that are not above it. Where a higher ballot is met the proposer pauses, for a
+random time that grows and is longer than its own ballots take, so that one of several that meet goes through.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from returns.result import Success
+
+from irisdeal.almanac.acceptor import Acceptor
+from irisdeal.almanac.members import ip_of
+from irisdeal.almanac.peers import Peers, now
+from irisdeal.almanac.register import NO_BALLOT, Ballot, Change, Kept, Outcome, Round, Step, Value, put, same
+from irisdeal.almanac.shelf import Have
+from irisdeal.almanac.word import NOTHING, Stamp, Word
+from irisdeal.mast.events import tell
+from irisdeal.mast.process import Tasks
+
+BALLOT = 2.5  # s for a ballot: a disk in trouble takes over a second for each of the two syncs
+WORK = 3.0  # s for a decision, with all its ballots; who sent the order may have gone on and come again
+CALL = 2.5  # s for another's promise or accept, its disk's time included
+AGAIN = 0.05  # s before a seat is asked again whose connection ended
+PAUSE = 0.02  # s, the least pause after a lost ballot: half a ballot on quiet disks
+MOST_PAUSE = 0.32  # s: so that two pauses fit into the time that an order has
+MOST_ORDERS = 64  # that wait at once; eight are under way at most by the users' word
+
+
+class Proposer:
+    """One member's ballots. `learn` is told each value that they decide, with its ballot."""
+
+    def __init__(self, acceptor: Acceptor, peers: Peers, tasks: Tasks, learn: Callable[[Ballot, Value], None],
+                 compares: bool) -> None:
+        """`compares`: another body under a decided number is told, where it is passed over otherwise."""
+        self.acceptor, self.peers, self.tasks, self.learn = acceptor, peers, tasks, learn
+        self.compares = compares
+        self.chance = random.Random()
+        self.turn = asyncio.Lock()
+        self.orders: dict[Stamp, tuple[Word, asyncio.Future[Outcome]]] = {}
+        self.working = False
+        self.news = asyncio.Event()  # something was decided
+        self.lasted = PAUSE  # s that the last ballot took
+
+    # Orders
+
+    async def put(self, word: Word, within: float) -> Outcome:
+        """What became of this order, as far as it is known in so many seconds."""
+        settled = self.settled(word.stamp)
+        if settled is not None:
+            return settled
+        if len(self.orders) >= MOST_ORDERS:
+            tell(216, generation=f"r{word.stamp.number}")
+            return Outcome.LATER
+        if word.stamp not in self.orders:
+            self.orders[word.stamp] = word, asyncio.get_running_loop().create_future()
+        done = self.orders[word.stamp][1]
+        if not self.working:
+            self.working = True
+            self.tasks.start(self._work())
+        try:
+            async with asyncio.timeout(within):
+                return await asyncio.shield(done)
+        except TimeoutError:
+            return Outcome.LATER
+
+    def settled(self, stamp: Stamp) -> Outcome | None:
+        """The outcome by what is decided; None where it is under this order."""
+        held = self.acceptor.decided.stamp
+        if held.number < stamp.number:
+            return None
+        is_other = self.compares and held.number == stamp.number and held.digest != stamp.digest
+        return Outcome.OTHER if is_other else Outcome.CONFIRMED
+
+    def decided(self) -> None:
+        """Something was decided, here or elsewhere: orders that it answers are answered."""
+        self.news.set()
+        self.news = asyncio.Event()
+        for stamp in list(self.orders):
+            settled = self.settled(stamp)
+            if settled is not None:
+                self._answer(stamp, settled)
+
+    def _answer(self, stamp: Stamp, outcome: Outcome) -> None:
+        _, done = self.orders.pop(stamp)
+        if not done.done():
+            done.set_result(outcome)
+
+    async def _work(self) -> None:
+        try:
+            while self.orders:
+                stamp = max(self.orders)
+                word = self.orders[stamp][0]
+                self.peers.offer(word, self.acceptor.decided.members.ips())
+                good = await self.acceptor.hold(word) and await self.decide(put(stamp), self._over(stamp))
+                if not good and stamp in self.orders:
+                    tell(202, generation=f"r{stamp.number}")
+                    self._answer(stamp, Outcome.LATER)
+        finally:
+            self.working = False
+
+    @staticmethod
+    def _over(stamp: Stamp) -> Callable[[Value], bool]:
+        return lambda value: value.stamp.number >= stamp.number
+
+    # Ballots
+
+    async def decide(self, change: Change, wanted: Callable[[Value], bool], within: float = WORK) -> bool:
+        """Ballots until what is decided is as wanted, or the time is over."""
+        until = now() + within
+        async with self.turn:
+            while now() < until and not wanted(self.acceptor.decided):
+                if await self._decided(change, until) is None:
+                    return False
+            return wanted(self.acceptor.decided)
+
+    async def safe(self, within: float) -> Value | None:
+        """What is decided by a ballot that changes nothing: all that was decided before is in it."""
+        until = now() + within
+        async with self.turn:
+            return await self._decided(same, until)
+
+    async def _decided(self, change: Change, until: float) -> Value | None:
+        """What the first ballot that gets through decides; None where none does in time."""
+        above, pause, begun = NO_BALLOT, PAUSE, self.acceptor.decided
+        while now() < until:
+            try:
+                ballot = await self.ballot(change, above, min(BALLOT, until - now()))
+            except OSError as error:
+                tell(203, error=error)
+                return None
+            if ballot.step is Step.DECIDED:
+                assert ballot.value is not None
+                self.learn(ballot.ballot, ballot.value)
+                return ballot.value
+            above = max(above, ballot.above)
+            tell(208, ballot=ballot.ballot.count, above=above.count, by=above.seat, step=ballot.step.name)
+            await self._pause(pause)
+            pause = min(2 * pause, MOST_PAUSE)
+            if change is not same and self.acceptor.decided != begun:
+                return self.acceptor.decided  # by another; whether it is what is wanted is seen before the next
+        return None
+
+    async def _pause(self, pause: float) -> None:
+        """Less where something is decided meanwhile."""
+        try:
+            async with asyncio.timeout(self.chance.uniform(0.5, 1.5) * max(pause, self.lasted)):
+                await self.news.wait()
+        except TimeoutError:
+            pass
+
+    async def ballot(self, change: Change, above: Ballot, within: float) -> Round:
+        """One ballot, over `above`. OSError where our disk refuses."""
+        acceptor, begun = self.acceptor, now()
+        count = max(acceptor.kept.promised.count, above.count) + 1
+        ballot = Round(Ballot(count, acceptor.seat), acceptor.decided.members, change)
+        good, kept = await acceptor.prepare(ballot.ballot)  # before it is told: no ballot is used twice
+        ballot.on_promise(acceptor.seat, good, kept)
+        until = begun + within
+        await self._phase(ballot, Step.PREPARING, self._ask_promise, until)
+        if ballot.step is Step.ACCEPTING:
+            assert ballot.value is not None
+            holders = [ip_of(seat) for seat, kept in ballot.promised.items()
+                       if kept.value.stamp == ballot.value.stamp]
+            if ballot.value.stamp == NOTHING or await self.peers.body(ballot.value.stamp, holders) is not None:
+                await self._phase(ballot, Step.ACCEPTING, self._ask_accept, until)
+        if ballot.step is Step.DECIDED:
+            self.lasted = now() - begun
+        return ballot
+
+    async def _phase(self, ballot: Round, step: Step, ask: Callable[[Round, str, asyncio.Event],
+                                                                      Coroutine[Any, Any, None]],
+                     until: float) -> None:
+        """Ask all that are to be asked until this step is over."""
+        asked: dict[str, asyncio.Task[None]] = {}
+        news = asyncio.Event()
+        try:
+            async with asyncio.timeout(max(0.0, until - now())):
+                while ballot.step is step:
+                    for seat in sorted(ballot.targets() - asked.keys()):
+                        asked[seat] = self.tasks.start(ask(ballot, seat, news))
+                    await news.wait()
+                    news.clear()
+        except TimeoutError:
+            pass
+        finally:
+            for task in asked.values():
+                task.cancel()
+
+    async def _ask_promise(self, ballot: Round, seat: str, news: asyncio.Event) -> None:
+        if seat == self.acceptor.seat:
+            return  # asked before
+        while True:
+            answer = await self.peers.call(ip_of(seat), "prepare", [seat, ballot.ballot.tell()], CALL)
+            if isinstance(answer, Success):
+                if answer.unwrap() is None:
+                    return  # that disk is gone
+                good, kept = answer.unwrap()
+                ballot.on_promise(seat, bool(good), Kept.hear(kept))
+                return news.set()
+            await asyncio.sleep(AGAIN)
+
+    async def _ask_accept(self, ballot: Round, seat: str, news: asyncio.Event) -> None:
+        value = ballot.value
+        assert value is not None
+        if seat == self.acceptor.seat:
+            try:
+                given = await self.acceptor.accept(ballot.ballot, value)
+            except OSError as error:
+                return tell(203, error=error)
+            if given is not None:
+                ballot.on_accept(seat, *given)
+            return news.set()
+        while True:
+            answer = await self.peers.call(
+                ip_of(seat), "accept", [seat, ballot.ballot.tell(), value.tell()], CALL)
+            if isinstance(answer, Success):
+                if answer.unwrap() is None:
+                    return
+                good, told = answer.unwrap()
+                if good is not None:
+                    ballot.on_accept(seat, bool(good), Ballot.hear(told))
+                    return news.set()
+                word = self.acceptor.word(value.stamp)
+                if word is not None and await self.peers.bring(ip_of(seat), word, Have.hear(told)):
+                    continue
+            await asyncio.sleep(AGAIN)
--- a/irisdeal/almanac/register.py
+++ b/irisdeal/almanac/register.py
@@ -10,11 +10,13 @@
 2. It accepts a ballot that is not under its promise, and promises only higher ones.
 3. It accepts a value only when it holds the body that the value names, synced.
 4. A ballot's quorum is one of the list that the proposer knew, of the list of the value that it took over (and
-   of that one's former list), and, for the accept, of the list in the value that it proposes.
+   of that one's former list), and, for the accept, of the list in the value that it proposes. Where the value
+   that it took over has another list than the proposer knew to be decided, it is finished as it is: so each
+   list that is proposed is a decided one, or the one after a decided one, and their quorums meet.
 5. A seat proposes each ballot once: `Ballot.count` is over all that its own disk has promised, and a new disk
    is a new seat.
-6. What is in force, or read, or told as confirmed is decided. A value is known as decided by a quorum's equal
-   accepts.
+6. What is in force, or read, or told as confirmed is decided. A value is known as decided by equal accepts of a
+   quorum of its own list.
 """
 
 from __future__ import annotations
@@ -46,6 +48,14 @@
 NO_BALLOT = Ballot(0, "")
 
 
+class Outcome(IntEnum):
+    """What became of an order."""
+
+    LATER = 0  # not known, or not yet: to be sent again
+    CONFIRMED = 1  # decided, or overtaken by what is decided
+    OTHER = 2  # another body is decided under this number
+
+
 @dataclass(frozen=True, slots=True)
 class Value:
     """What the register holds. `change` rises by one with each change that is decided: the term of all control."""
@@ -67,6 +77,9 @@
         return Value(int(change), Stamp(int(number), bytes(digest)), Members.hear(members))
 
 
+UNKNOWN = Value(-1, NOTHING, Members(-1, ()))  # of a disk that came empty: under all that may be decided
+
+
 @dataclass(frozen=True, slots=True)
 class Kept:
     """What an acceptor has on its disk."""
@@ -161,7 +174,8 @@
         return frozenset().union(more, *(members.voters() for members in self.lists()))
 
     def _highest(self) -> Kept | None:
-        return max(self.promised.values(), key=lambda kept: kept.accepted, default=None)
+        """Of those that accepted nothing, one that knows the first list goes before one that knows none."""
+        return max(self.promised.values(), key=lambda kept: (kept.accepted, kept.value.change), default=None)
 
     def on_promise(self, seat: str, good: bool, kept: Kept) -> Step:
         """A seat's answer to the prepare of this ballot."""
@@ -175,7 +189,7 @@
         assert highest is not None
         if self.known.is_quorum(self.promised) and highest.value.members.is_quorum(self.promised):
             self.base = highest.value
-            self.value = self.change(self.base)
+            self.value = self.change(self.base) if self.base.members == self.known else self.base
             self.step = Step.ACCEPTING
         return self.step
 
--- a/irisdeal/almanac/report.py
+++ b/irisdeal/almanac/report.py
@@ -2,16 +2,17 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Any
 
-from irisdeal.almanac.members import ip_of
+from irisdeal.almanac.members import Members, ip_of
 from irisdeal.almanac.register import Ballot, Value
 
 
 @dataclass(frozen=True, slots=True)
 class Report:
-    """A seat's word of itself: it is told again each round and never relied on for a decision."""
+    """A seat's word of itself: what it accepted is synced before it is told."""
 
     seat: str
     zone: str
@@ -35,3 +36,28 @@
         seat, zone, accepted, value, decided, holds, leaving = told
         return Report(str(seat), str(zone), Ballot.hear(accepted), Value.hear(value), Value.hear(decided),
                       bool(holds), bool(leaving))
+
+
+def decided_among(reports: Iterable[Report]) -> Value | None:
+    """The newest value that these reports show to be decided: a quorum of its own list accepted it in one ballot.
+
+    That a seat accepted a ballot stays true, so reports of any time go together.
+    """
+    holders: dict[tuple[Ballot, Value], set[str]] = {}
+    for report in reports:
+        holders.setdefault((report.accepted, report.value), set()).add(report.seat)
+    shown = [value for (_, value), seats in holders.items() if value.members.is_quorum(seats)]
+    return max(shown, key=lambda value: value.change, default=None)
+
+
+def read_from(reports: Iterable[Report], known: Members) -> Value | None:
+    """What a read answers, of reports that were all asked for after it began: the newest decided value.
+
+    None where too few answered, or where a ballot is needed first: the highest accepted is not shown to be
+    decided, and may yet be decided, or lost.
+    """
+    heard = list(reports)
+    if not known.is_quorum(report.seat for report in heard):
+        return None
+    highest = max(report.accepted for report in heard)
+    return decided_among(report for report in heard if report.accepted == highest)
--- a/irisdeal/gauge/station.py
+++ b/irisdeal/gauge/station.py
@@ -9,8 +9,10 @@
 
 from returns.result import Failure, Success
 
+from irisdeal.almanac.members import majority
 from irisdeal.almanac.model import read
-from irisdeal.almanac.quorum import majority
+from irisdeal.almanac.register import UNKNOWN, Outcome, Value
+from irisdeal.almanac.shelf import Arrivals, Shelf
 from irisdeal.almanac.word import NOTHING, Stamp, Word
 from irisdeal.gauge.commands import Beat, Command, Leave, Look, Put, Read, decode
 from irisdeal.gauge.registry import MOST_LIVES, Life, Registry, State, hear_life, tell_life
@@ -44,6 +46,8 @@
         self.desk = Desk(settings, self.registry, self.loop, self._lend_from, lambda: len(self.roster))
         self.zones: dict[str, str] = {self.ip: settings.zone}
         self.word: Word | None = None
+        self.value = UNKNOWN  # what the store said last to be decided
+        self.arrivals = Arrivals(Shelf())
         self.roster: frozenset[str] = frozenset(places.seeds(settings)) | {self.ip}
         self.in_touch = False
         self.controls: dict[str, list[str]] = {settings.zone: [settings.bind.control]}
@@ -89,37 +93,41 @@
     async def _watch_store(self) -> None:
         """Ask our machine's store with the version that we have; without it, another's."""
         while True:
-            stamp = self.word.stamp if self.word else NOTHING
-            ask = [stamp.number, stamp.digest, len(self.roster)]
-            answer = await self.store.call("watch", ask, HOLD + ANSWER)
+            answer = await self.store.call("watch", self._ask(), HOLD + ANSWER)
             if isinstance(answer, Failure):
                 self.in_touch = False
-                await self._other_store(ask)
+                await self._other_store()
                 await asyncio.sleep(0.1)
                 continue
             self._take(answer.unwrap())
 
-    async def _other_store(self, ask: list[Any]) -> None:
+    def _ask(self) -> list[Any]:
+        have = self.arrivals.have(self.word.stamp if self.word else NOTHING)
+        return [have.tell(), self.value.change]
+
+    async def _other_store(self) -> None:
         for ip in self._others():
             link = Link(places.at(self.settings, ip, places.ALMANAC), f"gauge {self.ip}")
-            answer = await link.call("watch", [*ask[:2], -1], ANSWER)
+            answer = await link.call("watch", self._ask(), HOLD + ANSWER)
             link.close()
             if isinstance(answer, Success):
                 return self._take(answer.unwrap())
 
     def _take(self, told: list[Any]) -> None:
-        word, roster, self.in_touch = told
-        known = len(self.roster)
-        self.roster |= frozenset(roster)
-        if word is not None:
-            came = Word(Stamp(word[0], word[1]), word[2])
-            if self.word is None or came.stamp > self.word.stamp:
-                self.word = came
-                checked = read(came.body)
-                if isinstance(checked, Success):
-                    self.desk.configure(checked.unwrap())
-                return self._wake()
-        if len(self.roster) != known:
+        parcel, value, learners, age = told
+        self.in_touch, told_value = age >= 0, Value.hear(value)
+        if told_value.change >= self.value.change >= 0 or told_value.change > self.value.change:
+            self.value = told_value
+            roster = self.value.members.ips() | set(learners) | {self.ip}
+            if roster != self.roster:
+                self.roster = roster
+                self._wake()
+        word = self.arrivals.take(parcel) if parcel is not None else None
+        if word is not None and (self.word is None or word.stamp.number > self.word.stamp.number):
+            self.word = word
+            checked = read(word.body)
+            if isinstance(checked, Success):
+                self.desk.configure(checked.unwrap())
             self._wake()
 
     # The other registries
@@ -310,14 +318,13 @@
 
     async def _put(self, command: Put) -> Answer:
         word = command.word
-        if self.word is None or word.stamp.number > self.word.stamp.number:
-            body = [word.stamp.number, word.stamp.digest, word.body]
-        else:  # not above the one held, which is what is to be acknowledged
-            body = [self.word.stamp.number, self.word.stamp.digest, self.word.body]
-        answer = await self.store.call("put", body, PUT)
-        if isinstance(answer, Success) and answer.unwrap():
+        answer = await self.store.call("put", [word.stamp.number, word.stamp.digest, word.body], PUT)
+        outcome = answer.unwrap() if isinstance(answer, Success) else Outcome.LATER
+        if outcome == Outcome.CONFIRMED:
             return Answer(200, b"{}", JSON)
-        return self._later("not held by a majority in time")
+        if outcome == Outcome.OTHER:
+            return Answer(409, json.dumps({"error": f"r{word.stamp.number} is another one"}).encode(), JSON)
+        return self._later("not decided in time")
 
     async def _beat(self, beat: Beat) -> Answer:
         now = self.loop.time()
--- a/irisdeal/mast/settings.py
+++ b/irisdeal/mast/settings.py
@@ -62,6 +62,7 @@
     counted: bool = False
     data_path: str = ""
     beat_interval_ms: int = 1500
+    config_source: str = "highest"  # how an order is compared with what holds; else another body is refused
     bounds: tuple[str, ...] = ()
     zones: dict[str, str] = field(default_factory=dict)
     bind: Bind = field(default_factory=Bind)
