--- a/irisdeal/almanac/succession.py
+++ b/irisdeal/almanac/succession.py
@@ -57,6 +57,7 @@
 FEW = 3  # members that there are at least, where there are as many machines
 MANY = 5  # members that vote where nothing asks for more
 MOST = 9  # members at most, whatever is asked for
+EMPTY = 15.0  # s without anyone who knows a list, after which all disks count as lost: any start is over by then
 FORGOTTEN = 60.0  # s after which a silent learner is forgotten
 MOST_HEARD = 256  # seats remembered: ten times the largest core
 
@@ -290,6 +291,14 @@
     return not members.former and members.is_quorum(holders) and not view.others_ready()
 
 
+def beyond_help(decided: Value, reports: Reports, own: str) -> bool:
+    """Whether no quorum can ever be: too many members' machines speak from other disks. False where none of the
+    disks that were heard knows a list, as then nobody knows whose disks are missing."""
+    view = _View(decided, reports, own, 0.0, Wanted(), 0.0)
+    there = [seat for seat in decided.members.voters() if not view.wiped(seat)]
+    return bool(decided.members.seats) and not decided.members.is_quorum(there)
+
+
 class Watch:
     """What one process has heard of the others, and since when it has wanted a change. `now`: its start."""
 
@@ -298,6 +307,7 @@
         self.reports: dict[str, Heard] = {}
         self.wanting: tuple[int, bool] | None = None  # the list's number, and whether it is to be settled
         self.wanted_at = now
+        self.told: frozenset[tuple[int, str]] = frozenset()  # (event, seat) that hold now and were told
 
     def heard(self, report: Report, now: float) -> None:
         """A seat's word of itself, also the own seat's."""
@@ -326,6 +336,18 @@
         ips = {heard.report.ip for heard in self.reports.values() if now - heard.at < DEAD}
         return sorted(ips - decided.members.ips())
 
+    def news(self, decided: Value, own: str, now: float) -> list[tuple[int, str]]:
+        """Events that have begun to hold, each with its seat: 222 a member is dead, 223 a learner is ready, 226 no
+        quorum can ever be (for the own seat)."""
+        view = _View(decided, self.reports, own, now, Wanted(), self.since)
+        hold = {(222, seat) for seat in view.seats - view.live(view.seats)} | {(223, seat) for seat in view.ready()}
+        empty = not decided.members.seats and now - self.since >= EMPTY and not any(
+            heard.report.decided.members.seats for heard in self.reports.values())
+        if empty or beyond_help(decided, self.reports, own):
+            hold.add((226, own))
+        fresh, self.told = sorted(hold - self.told), frozenset(hold)
+        return fresh
+
     def _forget(self, decided: Value, now: float) -> None:
         voters = decided.members.voters()
         old_first = sorted((heard.at, seat) for seat, heard in self.reports.items() if seat not in voters)
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -110,6 +110,26 @@
     assert found is not None and found.seats == ("a/first", "b/first", "c/new")
 
 
+def test_what_begins_to_hold_is_told_once() -> None:
+    watch, value = Watch(0.0), first("a", "b", "c")
+    for name in ("a/first", "b/first", "d/x"):
+        watch.heard(Report(name, "z", NO_BALLOT, value, value, True), 10.0)
+    assert watch.news(value, "a/first", 10.0) == [(222, "c/first"), (223, "d/x")]
+    assert watch.news(value, "a/first", 10.1) == []
+    for name in ("b/y", "c/z"):
+        watch.heard(Report(name, "z", NO_BALLOT, value, value, False), 10.2)
+    assert watch.news(value, "a/first", 10.3) == [(222, "b/first"), (226, "a/first")]
+
+
+def test_all_disks_lost_is_told_once_every_start_is_over() -> None:
+    watch, nothing = Watch(0.0), Value(-1, first("a").stamp, Members(-1, ()))
+    watch.heard(Report("b/y", "z", NO_BALLOT, nothing, nothing, False), 14.0)
+    assert watch.news(nothing, "a/x", 14.9) == []
+    assert watch.news(nothing, "a/x", 15.0) == [(226, "a/x")]
+    watch.heard(Report("c/z", "z", NO_BALLOT, nothing, first("c"), False), 15.0)
+    assert watch.news(nothing, "a/x", 15.1) == []
+
+
 def test_what_is_remembered_is_bounded() -> None:
     watch, value = Watch(0.0), first("a")
     for number in range(3 * MOST_HEARD):
