Contact, followed from the store to the door: age of knowledge, counted from the asking

Contact now drops what was asked before a freeze and tells when it is won or lost; a registry follows one store that has contact (gauge/store.py) and tells doors the age of its knowledge (gauge/news.py); a door leaves a source without contact at once and knows its own age. Registries learn lives again after a start, a freeze or a cut before they count as full sources.

--- /dev/null
+++ b/irisdeal/gauge/news.py
@@ -0,0 +1,67 @@
+"""What doors are told: the word, the lives, the list of the core, and how old the registry's knowledge is.
+
+A door says what it has and is answered at once where there is more, else within `HOLD` s. The age that it is told
+is that of the moment at which its ask came, at least 0: it adds the time since it sent its ask, which holds the
+time that the ask was held. So a held ask makes knowledge look no older than it is by more than the hold.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from collections.abc import Callable
+from typing import Any
+
+from irisdeal.almanac.shelf import Have
+from irisdeal.gauge.registry import Registry, tell_life
+from irisdeal.gauge.store import Follower
+
+HOLD = 1.0  # s that a door's ask may be held without news
+
+
+class News:
+    """Answers doors' asks for news."""
+
+    def __init__(
+        self, follower: Follower, registry: Registry, life: int, zones: dict[str, str], is_full: Callable[[], bool],
+    ) -> None:
+        """`life`: of this registry; `is_full`: whether it has learned which backends there are."""
+        self.follower, self.registry, self.life, self.zones, self.is_full = follower, registry, life, zones, is_full
+        self.loop = asyncio.get_running_loop()
+        self.waking = asyncio.Event()
+
+    def wake(self) -> None:
+        """There is news, or contact was won or lost: all asks that are held are answered."""
+        self.waking.set()
+        self.waking = asyncio.Event()
+
+    async def answer(self, have: list[Any], life: int, changes: int, change: int) -> list[Any]:
+        """[parcel or None, our life, our number, changed lives, {ip: zone}, age in ms, change].
+
+        `age`: -1 where no store has contact, or we have just started and do not know the backends.
+        """
+        came, has = self.loop.time(), Have.hear(have)
+        known = changes if life == self.life else 0
+        if life == self.life and not self._has_news(has, known, change):
+            try:
+                async with asyncio.timeout(HOLD):
+                    await self.waking.wait()
+            except TimeoutError:
+                pass
+        now, follower = self.loop.time(), self.follower
+        stamp = follower.stamp
+        return [self.follower.shelf.parcel(has, stamp) if stamp.number > has.stamp.number else None, self.life,
+                self.registry.number,
+                [[tell_life(entry.life, now), entry.silent] for entry in self.registry.since(known)],
+                {ip: self.zones.get(ip, "") for ip in sorted(follower.everyone())}, self._age(came),
+                follower.change]
+
+    def _age(self, came: float) -> int:
+        age = self.follower.age()
+        if age is None or not self.is_full():
+            return -1
+        return max(0, math.ceil((age - (self.loop.time() - came)) * 1000))
+
+    def _has_news(self, has: Have, known: int, change: int) -> bool:
+        return (self.follower.stamp.number > has.stamp.number or self.registry.number > known
+                or self.follower.change != change)
--- /dev/null
+++ b/irisdeal/gauge/store.py
@@ -0,0 +1,312 @@
+"""What a registry knows of the store, and how old that is: one member's store is followed, its own where it can.
+
+Rules that must hold here:
+1. Knowledge is as of a moment of our steady clock: when our ask was sent, less the age that the store told of
+   its contact with a quorum. So what is told by whoever was cut off, stood still or answers late is old by itself.
+2. It counts only once the body of what is decided is here, whole.
+3. It only moves forward: by `change`, or by a higher number where a core began anew.
+4. A store that is silent, or says that it has no contact, is left at once for another that has; our own is asked
+   on and followed again as soon as it can be.
+5. An order or a read goes to a store that has contact, and to the next where that one gives up at once: an order
+   may be sent twice, since its number and digest name it. Without any, the answer is that there is none, at once.
+6. Tokens are shared with all registries that may be giving any (`givers`): those of the list that is decided, of
+   the one before it while a change is under way, the learners (they serve doors before they count), and for
+   `GIVEN` s those that were one of these. Each has 1 / givers of what nobody asks for, so the parts sum to one at
+   most only where nobody counts fewer than there are. A machine that left may serve its doors until they have heard
+   so, and what it gave counts in a quota's window for as long as that is.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Iterable
+from enum import Enum
+from typing import Any
+
+from returns.result import Failure, Result
+
+from irisdeal.almanac.contact import LEASE
+from irisdeal.almanac.members import Members, ip_of, majority
+from irisdeal.almanac.register import Value
+from irisdeal.almanac.shelf import Arrivals, Have, Shelf
+from irisdeal.almanac.word import NOTHING, Stamp, Word
+from irisdeal.mast import places
+from irisdeal.mast.events import tell
+from irisdeal.mast.process import Tasks, every
+from irisdeal.mast.settings import Settings
+from irisdeal.mast.trouble import Trouble
+from irisdeal.telegraph.link import Link
+
+HOLD = 1.0  # s that a store may hold a watch without news
+ANSWER = 0.4  # s for a short answer of a store
+PULSE = 0.2  # s between two asks for the age of what we know; on the same machine, so they cost no bytes on a link
+STALE = LEASE + PULSE + ANSWER  # s: knowledge that is older is no contact, whatever was said
+GRACE = 0.15  # s that another store is looked for before doors are told that there is no contact
+SEEK = 0.5  # s between two looks for a store that has contact, times 0.75 to 1.25: registries do not ask as one
+PUT = 0.95  # s for an order or a read: the caller goes elsewhere after a second of silence
+LEAST = 0.1  # s under which no further store is tried
+AGAIN = 0.5  # s after which an order may find a store: a round and its answers; told as Retry-After
+PAUSE = 0.05  # s before the next watch, where one was answered at once and nothing came of it
+AT_ONCE = -2  # as `change` of a watch: no store has it, so it answers at once
+MOST_GIVERS = 9  # registries that may be giving tokens, until a store has told the list: the largest core there is
+GIVEN = 10.0  # s that a machine which left counts as a giver of tokens: twice the windows that there are, 5
+
+
+class Outcome(Enum):
+    """How an order ended."""
+
+    LATER = 0  # not known: to be sent again
+    CONFIRMED = 1  # it is decided, or overtaken by what is
+    OTHER = 2  # another body is decided under its number
+
+
+class Ear(Enum):
+    """What an ask showed of a store."""
+
+    GOOD = 0
+    NO_CONTACT = 1
+    SILENT = 2
+
+
+class Follower:
+    """The store as this registry knows it. Times are s of the loop's clock."""
+
+    def __init__(
+        self, settings: Settings, shelf: Shelf, on_word: Callable[[Word], None], changed: Callable[[], None],
+    ) -> None:
+        """`on_word`: a newer word is here; `changed`: it, the list, or whether there is contact is another."""
+        self.settings, self.ip, self.shelf = settings, settings.ip, shelf
+        self.on_word, self.changed = on_word, changed
+        self.loop = asyncio.get_running_loop()
+        self.chance = random.Random(settings.ip)
+        self.arrivals = Arrivals(shelf)
+        self.value = Value(-1, NOTHING, Members.first(places.seeds(settings)))  # -1: none was told
+        self.word: Word | None = None
+        self.change = -1  # of the newest value whose body is here
+        self.learners: frozenset[str] = frozenset()
+        self.source = self.ip  # whose store is followed
+        self.as_of = float("-inf")  # we know all that was decided by then
+        self.has_contact = False  # as doors were told last
+        self.older: set[str] = set()  # stores of which event 314 was told
+        self.left: dict[str, float] = {}  # machines that left the core -> until when they count as givers
+        self.links: dict[str, Link] = {}
+        self.seeking: asyncio.Task[None] | None = None
+        self.tasks = Tasks()
+
+    def start(self) -> None:
+        self.tasks.start(self._watch())
+        self.tasks.start(every(PULSE, self._pulse))
+
+    def stop(self) -> None:
+        self.tasks.cancel()
+        for link in self.links.values():
+            link.close()
+
+    def reload(self, settings: Settings) -> None:
+        self.settings = settings
+
+    # What is known
+
+    @property
+    def stamp(self) -> Stamp:
+        """Of the newest word that is here."""
+        return self.word.stamp if self.word is not None else NOTHING
+
+    @property
+    def members(self) -> Members:
+        return self.value.members
+
+    def everyone(self) -> frozenset[str]:
+        """The machines whose registries are to be asked, told and shared with, this one among them."""
+        seeds = places.seeds(self.settings) if self.value.change < 0 else ()
+        return self.members.ips() | self.learners | {self.ip, *seeds}
+
+    def is_majority(self, ips: Iterable[str]) -> bool:
+        """Whether these machines are a majority of the list, and of the one before while a change is under way."""
+        ips = set(ips)
+        lists = (frozenset(map(ip_of, seats)) for seats in (self.members.seats, self.members.former) if seats)
+        return all(len(ips & machines) >= majority(machines) for machines in lists)
+
+    def givers(self) -> int:
+        """How many registries may be giving tokens: never fewer than there are (rule 6)."""
+        now = self.loop.time()
+        self.left = {ip: until for ip, until in self.left.items() if until > now}
+        known = len(self.everyone() | self.left.keys())
+        return known if self.value.change >= 0 else max(MOST_GIVERS, known)
+
+    def age(self) -> float | None:
+        """s since the moment by which we know all that was decided; None where there is no contact."""
+        age = self.loop.time() - self.as_of
+        return age if self.has_contact and age <= STALE else None
+
+    # Following
+
+    def _link(self, ip: str) -> Link:
+        if ip not in self.links:
+            self.links[ip] = Link(places.at(self.settings, ip, places.ALMANAC), f"gauge {self.ip}")
+        return self.links[ip]
+
+    def _others(self) -> list[str]:
+        return sorted(self.everyone() - {self.ip})
+
+    async def _watch(self) -> None:
+        """Ask for news, held while there is none."""
+        while True:
+            source, before, sent = self.source, self._progress(), self.loop.time()
+            ear = await self._ask(source, True)
+            if ear is Ear.GOOD:
+                self._found(source)
+                if before == self._progress() and self.loop.time() - sent < PAUSE:
+                    await asyncio.sleep(PAUSE)
+            elif source == self.source:
+                await self._seek()
+
+    def _progress(self) -> tuple[int, Have]:
+        return self.value.change, self.arrivals.have(self.stamp)
+
+    async def _pulse(self) -> None:
+        """Ask how old our knowledge is, and whether our own store can be followed again."""
+        if self.seeking is not None:
+            return
+        source = self.source
+        if source != self.ip and await self._ask(self.ip, False) is Ear.GOOD:
+            return self._found(self.ip)
+        if await self._ask(source, False) is Ear.GOOD:
+            self._found(source)
+        elif source == self.source:
+            await self._seek()
+
+    async def _seek(self) -> None:
+        """Find a store that has contact; both loops wait for the same search."""
+        if self.seeking is None:
+            self.seeking = self.tasks.start(self._search())
+        await asyncio.shield(self.seeking)
+
+    async def _search(self) -> None:
+        lost = self.loop.call_later(GRACE, self._lost)
+        try:
+            while True:
+                others = self._others()
+                asks = [self.tasks.start(self._ask_other(ip)) for ip in (self.ip, *others)]
+                for done in asyncio.as_completed(asks):
+                    ip, ear = await done
+                    if ear is Ear.GOOD:
+                        return self._found(ip)
+                self._lost()
+                await asyncio.sleep(SEEK * (0.75 + 0.5 * self.chance.random()))
+        finally:
+            lost.cancel()
+            self.seeking = None
+
+    async def _ask_other(self, ip: str) -> tuple[str, Ear]:
+        return ip, await self._ask(ip, False)
+
+    def _found(self, ip: str) -> None:
+        """This store has contact: it is followed."""
+        if ip != self.source:
+            tell(311 if ip == self.ip else 310, store=ip)
+            self.source = ip
+        self._have_contact(self.loop.time() - self.as_of <= STALE)
+
+    def _lost(self) -> None:
+        self._have_contact(False)
+
+    def _have_contact(self, has_contact: bool) -> None:
+        if has_contact != self.has_contact:
+            self.has_contact = has_contact
+            tell(313 if has_contact else 312, store=self.source, age=round(self.loop.time() - self.as_of, 2))
+            self.changed()
+
+    async def _ask(self, ip: str, held: bool) -> Ear:
+        """One watch; `held`: until there is news."""
+        have, sent = self.arrivals.have(self.stamp), self.loop.time()
+        body = [have.tell(), self.value.change if held else AT_ONCE]
+        answer = await self._link(ip).call("watch", body, HOLD + ANSWER if held else ANSWER)
+        if isinstance(answer, Failure):
+            return Ear.SILENT
+        try:
+            parcel, told, learners, age = answer.unwrap()
+            return self._hear(ip, have, sent, parcel, Value.hear(told), frozenset(map(str, learners)), int(age))
+        except (ValueError, TypeError, IndexError) as error:
+            tell(500, peer=ip, error=error)
+            return Ear.SILENT
+
+    def _hear(
+        self, ip: str, have: Have, sent: float, parcel: list[Any] | None, value: Value, learners: frozenset[str],
+        age: int,
+    ) -> Ear:
+        """`age`: ms, below 0 where the store has no contact."""
+        if value.change < 0:  # its disk came empty: it knows nothing yet
+            return Ear.NO_CONTACT
+        if value.change < self.value.change and value.stamp.number <= self.value.stamp.number:
+            if age >= 0 and sent - age / 1000 > self.as_of and ip not in self.older:
+                self.older.add(ip)
+                tell(314, store=ip, change=value.change, known=self.value.change)
+            return Ear.NO_CONTACT
+        self.older.discard(ip)
+        news = self._take_list(value, learners if age >= 0 else self.learners | learners)
+        news |= self._take_word(have, parcel)
+        if self.stamp == self.value.stamp:
+            news |= self.change != self.value.change
+            self.change = self.value.change
+            if age >= 0:
+                self.as_of = max(self.as_of, sent - age / 1000)
+        if news:
+            self.changed()
+        return Ear.GOOD if age >= 0 else Ear.NO_CONTACT
+
+    def _take_list(self, value: Value, learners: frozenset[str]) -> bool:
+        """Whether the list of the core is another."""
+        before, number = self.everyone(), self.members.number
+        self.value, self.learners = value, learners
+        gone = before - self.everyone()
+        now = self.loop.time()
+        for ip in gone:
+            self.left[ip] = now + GIVEN
+            if ip in self.links:
+                self.links.pop(ip).close()
+        if value.members.number != number or gone:
+            tell(315, list=value.members.number, members=len(value.members.ips()), left=",".join(sorted(gone)))
+        return value.members.number != number
+
+    def _take_word(self, have: Have, parcel: list[Any] | None) -> bool:
+        """Whether a newer word is here; another answer may have brought the same parcel meanwhile."""
+        if parcel is None or have != self.arrivals.have(self.stamp):
+            return False
+        word = self.arrivals.take(parcel)
+        if word is None or word.stamp.number <= self.stamp.number:
+            return False
+        self.word = word
+        self.on_word(word)
+        return True
+
+    # Orders
+
+    async def put(self, word: Word) -> Outcome:
+        """Have it decided. LATER at once where no store has contact."""
+        body = [word.stamp.number, word.stamp.digest, word.body]
+        answer = await self._order("put", body, lambda told: told != Outcome.LATER.value)
+        try:
+            return Outcome(answer.value_or(Outcome.LATER.value))
+        except ValueError:
+            return Outcome.LATER
+
+    async def read(self) -> tuple[bool, bytes | None]:
+        """Whether it is known what holds, and its body; None where nothing was ever put."""
+        answer = await self._order("read", None, lambda told: bool(told[0]))
+        known, body = answer.value_or([False, None])
+        return bool(known), bytes(body) if known and body is not None else None
+
+    async def _order(self, kind: str, body: Any, is_done: Callable[[Any], bool]) -> Result[Any, Trouble]:
+        """The first answer that is one; the last one where none is."""
+        answer: Result[Any, Trouble] = Failure(Trouble(kind, "store", "no contact", never_sent=True))
+        until = self.loop.time() + PUT
+        for ip in dict.fromkeys((self.source, self.ip, *self._others())):
+            left = until - self.loop.time()
+            if self.age() is None or left < LEAST:
+                break
+            answer = await self._link(ip).call(kind, body, left)
+            if not isinstance(answer, Failure) and is_done(answer.unwrap()):
+                break
+        return answer
--- a/irisdeal/vane/sources.py
+++ b/irisdeal/vane/sources.py
@@ -1,29 +1,48 @@
-"""Where a door hears news: two registries at once, asked with the version that it has; a silent one is left."""
+"""Where a door hears news: two registries at once, and how old what it knows may be.
+
+Rules that must hold here:
+1. What a source tells holds all that was decided by the moment at which our ask was sent, less the age that it
+   told (`as_of`, on our steady clock). It counts once the word is here, whole.
+2. A source that has no contact with the core, or whose knowledge is older than `OLD`, is left at once for one that
+   is not; where there is none it is asked on, and what is held goes on. `age` says how old that may be.
+3. Words only move forward by number, and lives never go back, within a life of this process.
+4. The list of sources is what the sources in use tell; seeds are asked only where none of these is left.
+5. No door asks more than `SOURCES` at once, and each turns to another after a pause of its own chance.
+"""
 
 from __future__ import annotations
 
 import asyncio
+import random
 import zlib
 from collections.abc import Callable
 from typing import Any
 
 from returns.result import Failure, Success
 
+from irisdeal.almanac.contact import LEASE
+from irisdeal.almanac.shelf import Arrivals, Have, Shelf
 from irisdeal.almanac.word import NOTHING, Stamp, Word
 from irisdeal.barometer.counter import Figures
 from irisdeal.gauge.registry import Life, State, hear_life, tell_life
 from irisdeal.isobar.answers import NONE, WAIT
 from irisdeal.mast import places
-from irisdeal.mast.events import invariant, tell
+from irisdeal.mast.events import tell
 from irisdeal.mast.process import Tasks
 from irisdeal.mast.settings import Settings
 from irisdeal.telegraph.link import Link
 
 SOURCES = 2  # asked at once: one may lag or die without a loss of time
-ASK = 1.5  # s for news: an ask is held for 1 s
+HOLD = 1.0  # s that a source holds an ask without news
+ASK = HOLD + 0.5  # s for news
+OLD = LEASE + HOLD  # s: knowledge that is older when it comes is no contact; sources in order tell 1.1 at most
+LOST = OLD + ASK  # s: the age of our own knowledge from which we have no contact: the next answer has not come
 COUNT = 0.4  # s for totals
-LEFT = 3.0  # s that a source in our zone that was silent is not preferred
-PAUSE = 0.1  # s before the next source is tried
+LEFT = 2.0  # s at least that a source which was left is not preferred; doubled each time that it was no use again
+MOST_LEFT = 8.0  # s
+PAUSE, MOST_PAUSE = 0.05, 0.15  # s before the next source is tried: drawn between these
+AGAIN = 3  # times as long where all that are there were of no use a moment ago
+IDLE = 0.02  # s: an answer that comes sooner and brings nothing was not held, and the next ask waits `MOST_PAUSE`
 PLACE = 0.06  # s for a registry to answer an ask for a place: some ways there and back
 DEAF = 0.5  # s that a registry which did not answer an ask for a place in time is not asked for one
 GONE_KEPT = 120.0  # s that a life that has ended is remembered, to be told to who forgot
@@ -37,125 +56,213 @@
     ) -> None:
         self.settings, self.on_word, self.on_life = settings, on_word, on_life
         self.loop = asyncio.get_running_loop()
-        self.roster: list[str] = places.seeds(settings)
-        self.zones: dict[str, str] = {}
+        self.chance = random.Random(settings.ip)
+        self.arrivals = Arrivals(Shelf())
         self.word: Word | None = None
+        self.change = -1  # of the newest word that is here
+        self.as_of = float("-inf")  # we know all that was decided by then
+        self.born = self.loop.time()
+        self.has_contact: bool | None = None  # as was told last; None before any
         self.lives: dict[str, Life] = {}
         self.ended: dict[str, float] = {}
         self.silent: dict[str, dict[str, bool]] = {}  # life -> source -> whether it says silent
         self.using: list[str] = []
-        self.left: dict[str, float] = {}  # sources that were silent, until when they are not preferred
-        self.good: dict[str, float] = {}  # source -> when it last answered and was in touch with the core
+        self.told: dict[str, dict[str, str]] = {}  # source -> the machines of the core and their zones, by its word
+        self.zones: dict[str, str] = {}  # what all of them told; as it was, where none tells
+        self.left: dict[str, tuple[float, float]] = {}  # source -> until when it is not preferred, and for how long
+        self.fresh: dict[str, float] = {}  # source -> as of when its knowledge was when it told last
+        self.known: dict[str, int] = {}  # source -> its life that was told what we know
         self.links: dict[str, Link] = {}
         self.deaf: dict[str, float] = {}  # registries that did not answer at once, until when they are not asked
-        self.answering: set[str] = set()  # sources that answer, in touch with the core or not
+        self.answering: set[str] = set()  # sources that answer, in contact with the core or not
         self.has_heard = asyncio.Event()  # that a first source has answered
+        self.arriving = ""  # the source that a word comes from in pieces; the other one does not bring it too
         self.tasks = Tasks()
 
     def start(self) -> None:
-        for index in range(SOURCES):
-            self.tasks.start(self._follow(index))
+        for _ in range(SOURCES):
+            self.tasks.start(self._follow())
 
     def stop(self) -> None:
         self.tasks.cancel()
 
     def reload(self, settings: Settings) -> None:
         self.settings = settings
-        for ip in places.seeds(settings):
-            if ip not in self.roster:
-                self.roster.append(ip)
-
-    def heard_within(self, seconds: float) -> bool:
-        """Whether some source that is in touch with the core answered of late."""
-        return any(at >= self.loop.time() - seconds for at in self.good.values())
-
-    def _next(self, after: str | None) -> str | None:
-        """The next source in a turn that each door begins elsewhere, one that no other turn uses."""
-        order = sorted(self.roster, key=lambda ip: hash_of(self.settings.ip, ip))
-        free = [ip for ip in order if ip not in self.using and ip not in self.left]
-        near = next(filter(self._is_near, free), None)
-        if near is not None and not any(self._is_near(ip) for ip in self.using):
-            return near
-        if after in order:
-            at = order.index(after) + 1
-            order = order[at:] + order[:at]
-        return next((ip for ip in order if ip not in self.using), None)
+
+    # How old what we know may be
+
+    @property
+    def stamp(self) -> Stamp:
+        """Of the word that is here."""
+        return self.word.stamp if self.word is not None else NOTHING
+
+    def age(self, now: float) -> float:
+        """s since the moment by which we know all that was decided; inf where no source in contact told any."""
+        return now - self.as_of
+
+    def _judge(self) -> None:
+        """Tell when contact was won or lost."""
+        now = self.loop.time()
+        has_contact = self.age(now) <= LOST
+        if has_contact != self.has_contact and (has_contact or now - self.born > LOST):
+            if not has_contact:
+                tell(411, age=round(self.age(now), 2), sources=",".join(self.using))
+            elif self.has_contact is not None:
+                tell(412, sources=",".join(self.using))
+            self.has_contact = has_contact
+
+    # Which sources
+
+    def _candidates(self) -> list[str]:
+        """All that may be asked and are not, the best first: not left of late, near, fresh, in our own turn."""
+        now = self.loop.time()
+        has_near = any(map(self._is_near, self.using))
+
+        def rank(ip: str) -> tuple[bool, float, bool, float, int]:
+            is_near = self._is_near(ip) and not has_near  # bytes between zones are dear: one is in ours
+            left_until = self.left[ip][0] if self._is_left(ip, now) else 0.0
+            return (ip not in self.zones and bool(self.zones), left_until, not is_near,
+                    -round(self.fresh.get(ip, now)), hash_of(self.settings.ip, ip))
+
+        return sorted((ip for ip in {*self.zones, *places.seeds(self.settings)} if ip not in self.using), key=rank)
+
+    def _is_left(self, ip: str, now: float) -> bool:
+        return self.left.get(ip, (0.0, 0.0))[0] > now
+
+    def _leave(self, ip: str) -> None:
+        """Do not prefer it for a while, of another length at each door: they do not come back as one."""
+        _, before = self.left.get(ip, (0.0, 0.0))
+        lasts = min(MOST_LEFT, max(LEFT, 2 * before))
+        self.left[ip] = self.loop.time() + lasts * (1 + self.chance.random()), lasts
 
     def _is_near(self, ip: str) -> bool:
-        """Bytes between zones are dear: one source is in ours while it can be."""
         return self.zones.get(ip) == self.settings.zone
 
-    def _could_be_nearer(self, ip: str) -> bool:
-        return not any(map(self._is_near, self.using)) and any(
-            self._is_near(other) and other not in self.left for other in self.roster) and ip == self.using[0]
+    def _better(self, ip: str, is_good: bool) -> bool:
+        """Whether to turn from this source to another: from one without contact to any that may have it, and the
+        first in use to one in our zone, where none in use is."""
+        now = self.loop.time()
+        others = [other for other in self._candidates() if not self._is_left(other, now)]
+        if not is_good:
+            return bool(others)
+        return ip == self.using[0] and not any(map(self._is_near, self.using)) and any(map(self._is_near, others))
 
-    async def _follow(self, index: int) -> None:
-        ip: str | None = None
+    async def _follow(self) -> None:
         while True:
-            ip = self._next(ip)
-            if ip is None:
-                await asyncio.sleep(4 * PAUSE)
-                continue
-            self.using.append(ip)
-            link = Link(places.at(self.settings, ip, places.GAUGE), f"vane {self.settings.ip}")
-            try:
-                await self._ask(ip, link)
-            finally:
-                self.using.remove(ip)
-                self.good.pop(ip, None)
-                self.answering.discard(ip)
-                for told in self.silent.values():
-                    told.pop(ip, None)
-                link.close()
-            await asyncio.sleep(PAUSE)
+            ip = next(iter(self._candidates()), None)
+            was_left = ip is None or self._is_left(ip, self.loop.time())
+            if ip is not None:
+                self.using.append(ip)
+                link = Link(places.at(self.settings, ip, places.GAUGE), f"vane {self.settings.ip}")
+                try:
+                    await self._ask(ip, link)
+                finally:
+                    self._left_off(ip)
+                    link.close()
+            await asyncio.sleep(self.chance.uniform(PAUSE, MOST_PAUSE) * (AGAIN if was_left else 1))
+            self._judge()
+
+    def _left_off(self, ip: str) -> None:
+        self.using.remove(ip)
+        self.answering.discard(ip)
+        if self.arriving == ip:
+            self.arriving = ""
+        for told in self.silent.values():
+            told.pop(ip, None)
+
+    # News
 
     async def _ask(self, ip: str, link: Link) -> None:
-        """Ask one source until it is silent or out of touch with the core."""
+        """Ask one source until it is silent, out of contact, or another one is better."""
         life = number = 0
-        lonely = 0
-        while lonely < 3:
-            stamp = self.word.stamp if self.word else NOTHING
-            answer = await link.call(
-                "news", [stamp.number, stamp.digest, life, number, len(self.roster)], ASK)
+        while True:
+            have, sent = self._have(ip), self.loop.time()
+            answer = await link.call("news", [have.tell(), life, number, self.change], ASK)
             if isinstance(answer, Failure):
                 tell(403, source=ip, trouble=answer.failure())
-                self.left[ip] = self.loop.time() + LEFT
-                return
-            word, now_life, number, lives, roster, in_touch = answer.unwrap()
+                return self._leave(ip)
+            parcel, now_life, number, lives, zones, age, change = answer.unwrap()
             self.answering.add(ip)
             self.has_heard.set()
             if now_life != life:
                 life = now_life
-                self.tasks.start(self._tell_again(link))
-            self._hear(ip, word, lives, list(roster))
-            self.zones.update(roster)
-            self.left = {other: at for other, at in self.left.items() if at > self.loop.time()}
-            if self._could_be_nearer(ip):
+                if self.known.get(ip) != life:
+                    self.known[ip] = life
+                    self.tasks.start(self._tell_again(link))
+            before = self.change, self._have(ip)
+            self._hear_word(ip, have, parcel, change)
+            self._hear_lives(ip, lives)
+            is_good = self._hear_age(ip, sent, age, change)
+            self._hear_zones(ip, zones, is_good)
+            self._judge()
+            if not is_good and not self._is_left(ip, self.loop.time()):
+                tell(410, source=ip, age=age)
+                self._leave(ip)
+            if self._better(ip, is_good):
                 return
-            if in_touch:
-                self.good[ip], lonely = self.loop.time(), 0
-            else:
-                lonely += 1
-                await asyncio.sleep(PAUSE)
+            if not lives and (self.change, self._have(ip)) == before and self.loop.time() - sent < IDLE:
+                await asyncio.sleep(MOST_PAUSE)
+
+    def _have(self, ip: str) -> Have:
+        """What we have, for this source: a word that comes in pieces from another one is as if it was here."""
+        have = self.arrivals.have(self.stamp)
+        if self.arriving in ("", ip):
+            return have
+        return Have(max(have.stamp, have.arriving, key=lambda stamp: stamp.number))
+
+    def _hear_word(self, ip: str, have: Have, parcel: list[Any] | None, change: int) -> None:
+        if parcel is None:
+            if self.arriving == ip:
+                self.arriving = ""
+        elif have == self._have(ip):  # else the other one has brought it meanwhile
+            word = self.arrivals.take(parcel)
+            self.arriving = ip if word is None and self.arrivals.have(self.stamp).offset > 0 else ""
+            if word is not None and word.stamp.number > self.stamp.number:
+                self.word, self.change = word, change
+                self.on_word(word)
+        if parcel is None and have.stamp == self.stamp:
+            self.change = max(self.change, change)
+
+    def _hear_age(self, ip: str, sent: float, age: int, change: int) -> bool:
+        """Whether the source has contact. `age`: ms, below 0 where it has none."""
+        if age < 0:
+            return False
+        as_of = sent - age / 1000
+        self.fresh[ip] = as_of
+        if change <= self.change:
+            self.as_of = max(self.as_of, as_of)
+        is_good = self.loop.time() - as_of <= OLD
+        if is_good:
+            self.left.pop(ip, None)
+        return is_good
+
+    def _hear_zones(self, ip: str, zones: dict[str, str], is_good: bool) -> None:
+        """The machines of the core: by the word of those in contact, else as they were, and any more."""
+        if is_good:
+            self.told = {other: told for other, told in self.told.items() if other in self.using}
+            self.told[ip] = dict(zones)
+        now = {other: zone for told in self.told.values() for other, zone in told.items()}
+        if not self.told:
+            now = {**self.zones, **zones}
+        gone = self.zones.keys() - now.keys()
+        self.zones = now
+        if gone:
+            tell(413, left=",".join(sorted(gone)), sources=len(now))
+        for other in gone:
+            for known in (self.left, self.fresh, self.deaf, self.told, self.known):
+                known.pop(other, None)
+            if other in self.links:
+                self.links.pop(other).close()
 
     async def _tell_again(self, link: Link) -> None:
         """A source that is new, or has started again, may have forgotten: tell it what we know."""
         now = self.loop.time()
         await link.call("lives", [[tell_life(life, now), 0] for life in self.lives.values()], ASK)
 
-    def _hear(self, ip: str, word: list[Any] | None, lives: list[Any], roster: list[str]) -> None:
-        for member in roster:
-            if member not in self.roster:
-                self.roster.append(member)
+    def _hear_lives(self, ip: str, lives: list[Any]) -> None:
         now = self.loop.time()
         for told, silent in lives:
             self._hear_life(ip, hear_life(told, now), bool(silent))
-        if word is not None:
-            came = Word(Stamp(word[0], word[1]), word[2])
-            larger = self.word is None or came.stamp > self.word.stamp
-            if larger and invariant(came.is_whole(), "a word that was told is whole", source=ip):
-                self.word = came
-                self.on_word(came)
         for id_, at in list(self.ended.items()):
             if now - at > GONE_KEPT:
                 del self.ended[id_]
--- /dev/null
+++ b/tests/core_rig.py
@@ -0,0 +1,311 @@
+"""A core and doors in virtual time, with cuts by direction: stand-in stores, the registries' own `Follower` and
+`News`, the doors' own `Sources`.
+
+A stand-in store keeps the rule of the real one: it has contact while a majority answered asks that it sent within
+the lease, and merges what these answers tell before it counts them. What is decided is put on a majority by the
+test and reaches all others by their rounds alone: the slowest way there is.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from returns.result import Success
+
+from irisdeal.almanac.contact import LEASE, Contact
+from irisdeal.almanac.members import FIRST, Members, seat
+from irisdeal.almanac.register import Value
+from irisdeal.almanac.shelf import Have, Shelf
+from irisdeal.almanac.word import NOTHING, Stamp, Word
+from irisdeal.gauge.news import News
+from irisdeal.gauge.registry import Registry
+from irisdeal.gauge.store import Follower
+from irisdeal.mast import places
+from irisdeal.mast.settings import Settings
+from irisdeal.sim.machine import Core, Costs, Machine
+from irisdeal.sim.net import Network, Socket, Way
+from irisdeal.sim.world import START, World
+from irisdeal.telegraph.link import Link, Server
+from irisdeal.vane.sources import Sources
+
+ROUND, SEEKING, ANSWER, HOLD = 0.5, 0.12, 0.35, 1.0  # s, the real store's
+
+
+class CutNetwork(Network):
+    """With cuts by direction: what is on its way is held until they end, and no connection comes up."""
+
+    def __init__(self, world: World, usual: Way) -> None:
+        super().__init__(world, usual)
+        self.cuts: set[tuple[str, str]] = set()  # (from, to)
+        self.kept: list[tuple[tuple[str, str], Socket, int, str, Callable[..., None], tuple[Any, ...]]] = []
+
+    def _transmit(self, sock: Socket, size: int, what: str, call: Callable[..., None], *args: Any) -> None:
+        there = sock.other.machine.name if sock.other is not None else args[1][0] if what == "syn" else ""
+        leg = sock.machine.name, there
+        if leg not in self.cuts:
+            return super()._transmit(sock, size, what, call, *args)
+        if what != "syn":  # that one is sent again by itself
+            self.kept.append((leg, sock, size, what, call, args))
+
+    def join(self) -> None:
+        self.cuts.clear()
+        kept, self.kept = self.kept, []
+        for _, sock, size, what, call, args in kept:
+            self._transmit(sock, size, what, call, *args)
+
+
+class StandIn:
+    """One store. It shares nothing with the real one but `Contact`, `Value` and the parcels."""
+
+    def __init__(self, rig: CoreRig, ip: str) -> None:
+        self.rig, self.ip, self.seat = rig, ip, seat(ip, FIRST)
+        self.settings = rig.settings(ip)
+        self.value, self.word = rig.first, rig.first_word
+        self.learners: list[str] = []
+        self.shelf = Shelf()
+        self.contact = Contact()
+        self.news = asyncio.Event()
+        self.links: dict[str, Link] = {}
+        self.server = Server(self.handle)
+        self.puts: list[int] = []
+        self.outcome = 1
+
+    async def run(self) -> int:
+        await self.server.listen((self.ip, places.port(self.settings, places.ALMANAC)))
+        loop = asyncio.get_running_loop()
+        while True:
+            self.contact.tick(loop.time())
+            await asyncio.gather(*(self.ask(ip) for ip in self.value.members.ips() - {self.ip}))
+            await asyncio.sleep(ROUND if self.has_contact() else SEEKING)
+
+    def age(self) -> float:
+        return self.contact.age(self.value.members, self.seat, asyncio.get_running_loop().time())
+
+    def has_contact(self) -> bool:
+        return self.age() <= LEASE
+
+    async def ask(self, ip: str) -> None:
+        if ip not in self.links:
+            self.links[ip] = Link((ip, places.port(self.settings, places.ALMANAC)), self.ip)
+        sent = asyncio.get_running_loop().time()
+        answer = await self.links[ip].call("state", None, ANSWER)
+        if isinstance(answer, Success):
+            told, body = answer.unwrap()
+            value = Value.hear(told)
+            self.take(value, Word(value.stamp, bytes(body)))
+            self.contact.heard(seat(ip, FIRST), sent)
+
+    def take(self, value: Value, word: Word) -> None:
+        if value.change > self.value.change:
+            self.value, self.word = value, word
+            self.shelf.hold(word)
+            self.news.set()
+            self.news = asyncio.Event()
+
+    async def handle(self, peer: str, kind: str, body: Any) -> Any:
+        match kind:
+            case "state":
+                return [self.value.tell(), self.word.body]
+            case "watch":
+                return await self.watch(Have.hear(body[0]), body[1])
+            case "put":
+                self.puts.append(body[0])
+                return self.outcome if self.has_contact() else 0
+            case "read":
+                return [self.has_contact(), self.word.body]
+        raise ValueError(kind)
+
+    async def watch(self, have: Have, change: int) -> list[Any]:
+        if have.stamp == self.value.stamp and change == self.value.change:
+            try:
+                async with asyncio.timeout(HOLD):
+                    await self.news.wait()
+            except TimeoutError:
+                pass
+        stamp = self.value.stamp
+        parcel = self.shelf.parcel(have, stamp) if stamp not in (have.stamp, NOTHING) else None
+        return [parcel, self.value.tell(), self.learners, int(self.age() * 1000) if self.has_contact() else -1]
+
+
+class Post:
+    """One registry: what it knows of the store, and what it tells doors."""
+
+    def __init__(self, rig: CoreRig, ip: str, life: int) -> None:
+        self.settings = rig.settings(ip)
+        self.ip, self.words, self.is_full = ip, list[int](), True
+        self.registry, self.waking = Registry(1.5), [0]
+        self.follower = Follower(self.settings, Shelf(), self.on_word, self.changed)
+        self.news = News(self.follower, self.registry, life, {host: rig.zone(host) for host in rig.hosts},
+                         lambda: self.is_full)
+        self.server = Server(self.handle)
+        self.ages: list[tuple[float, int]] = []
+
+    def on_word(self, word: Word) -> None:
+        self.words.append(word.stamp.number)
+
+    def changed(self) -> None:
+        self.waking[0] += 1
+        self.news.wake()
+
+    async def run(self) -> int:
+        await self.server.listen((self.ip, places.port(self.settings, places.GAUGE)))
+        self.follower.start()
+        await asyncio.get_running_loop().create_future()
+        return 0
+
+    async def handle(self, peer: str, kind: str, body: Any) -> Any:
+        if kind == "news":
+            told = await self.news.answer(*body)
+            self.ages.append((asyncio.get_running_loop().time(), told[5]))
+            return told
+        return None
+
+
+class DoorPost:
+    """One door's ear: when each word came, and which sources it used when."""
+
+    def __init__(self, rig: CoreRig, ip: str) -> None:
+        self.rig, self.ip = rig, ip
+        self.words: list[tuple[float, int]] = []
+        self.sources = Sources(rig.settings(ip), self.on_word, lambda life, silent: None)
+
+    def on_word(self, word: Word) -> None:
+        self.words.append((self.rig.world.seconds(), word.stamp.number))
+
+    async def run(self) -> int:
+        self.sources.start()
+        await asyncio.get_running_loop().create_future()
+        return 0
+
+
+class CoreRig:
+    """`count` core machines, each with a store and a registry, and doors."""
+
+    def __init__(self, count: int, doors: int, seed: int = 1, delay: int = 700, jitter: int = 300) -> None:
+        """`delay`, `jitter`: µs of each way between machines."""
+        self.world = World(seed)
+        self.net = CutNetwork(self.world, Way(delay, jitter))
+        self.hosts = [f"10.{number}.0.1" for number in range(count)]
+        self.first = Value(0, NOTHING, Members.first(self.hosts))
+        self.first_word = Word(NOTHING, b"")
+        self.machines: dict[str, list[Machine]] = {}
+        self.stores: dict[str, StandIn] = {}
+        self.posts: dict[str, Post] = {}
+        self.doors: list[DoorPost] = []
+        self.decided: list[tuple[float, int]] = []
+        self.lives = 100
+        for host in self.hosts:
+            self.start(host)
+        for number in range(doors):
+            self.start_door(f"10.{number % count}.9.{number + 1}")
+
+    def zone(self, ip: str) -> str:
+        return "z" + ip.split(".")[1]
+
+    def settings(self, ip: str) -> Settings:
+        return Settings(
+            node_name=ip, role="x", ip=ip, zone=self.zone(ip), port_range=(7000, 7010),
+            seed_peers=tuple(f"{host}:8000" for host in self.hosts[:3]))
+
+    def process(self, host: str, make: Callable[[], Coroutine[Any, Any, int]]) -> Machine:
+        """One process; what is made is made in its loop."""
+        machine = Machine(self.world, self.net, host, Core(), Costs())
+
+        async def run() -> int:
+            return await make()
+
+        machine.start(run())
+        self.machines.setdefault(host, []).append(machine)
+        return machine
+
+    def start(self, host: str) -> None:
+        self.start_store(host)
+        self.start_post(host)
+
+    def start_store(self, host: str) -> Machine:
+        def store() -> Coroutine[Any, Any, int]:
+            self.stores[host] = StandIn(self, host)
+            return self.stores[host].run()
+
+        return self.process(host, store)
+
+    def start_post(self, host: str) -> Machine:
+        self.lives += 1
+        life = self.lives
+
+        def post() -> Coroutine[Any, Any, int]:
+            self.posts[host] = Post(self, host, life)
+            return self.posts[host].run()
+
+        return self.process(host, post)
+
+    def start_door(self, ip: str) -> None:
+        def door() -> Coroutine[Any, Any, int]:
+            self.doors.append(DoorPost(self, ip))
+            return self.doors[-1].run()
+
+        self.process(ip, door)
+
+    # Acts
+
+    def at(self, seconds: float, act: Callable[..., None], *given: Any) -> None:
+        self.world.at(START + round(seconds * 1e6), "test", act, *given)
+
+    def every(self, seconds: float, until: float, act: Callable[[], None]) -> None:
+        at = seconds
+        while at < until:
+            self.at(at, act)
+            at += seconds
+
+    def decide(self, number: int, holders: list[str], members: Members | None = None) -> None:
+        """A majority holds this word now; all others hear of it in their rounds."""
+        newest = max((store.value for store in self.stores.values()), key=lambda value: value.change)
+        word = Word.of(f"r{number}", b"r%d" % number)
+        value = Value(newest.change + 1, word.stamp, members or newest.members)
+        for host in holders:
+            self.stores[host].take(value, word)
+        self.decided.append((self.world.seconds(), number))
+
+    def cut(self, host: str, away: bool = True, here: bool = True, from_doors: bool = False) -> None:
+        """Between this core machine and the others: `away`, what it sends; `here`, what they send."""
+        for other in {*self.hosts, *((door.ip for door in self.doors) if from_doors else ())} - {host}:
+            if away:
+                self.net.cuts.add((host, other))
+            if here:
+                self.net.cuts.add((other, host))
+
+    def freeze(self, host: str, seconds: float) -> None:
+        for machine in self.machines[host]:
+            machine.pause(self.world.now + round(seconds * 1e6))
+
+    def kill(self, host: str) -> None:
+        for machine in self.machines.pop(host, []):
+            machine.kill()
+
+    def play(self, until: float) -> None:
+        """To this second of the world."""
+        over = False
+
+        def end() -> None:
+            nonlocal over
+            over = True
+
+        self.at(until, end)
+        self.world.run(lambda: over, START + round((until + 1) * 1e6))
+
+    # What was seen
+
+    def in_force(self, door: DoorPost, at: float) -> int:
+        """The number in force at a door at this second."""
+        return max((number for when, number in door.words if when <= at), default=-1)
+
+    def late(self, bound: float, since: float = 0.0) -> list[tuple[str, int, float]]:
+        """Doors at which a word decided after `since` was not in force `bound` s later."""
+        return [(door.ip, number, at) for at, number in self.decided if at >= since for door in self.doors
+                if at + bound <= self.world.seconds() and self.in_force(door, at + bound) < number]
+
+
+def stamp(number: int) -> Stamp:
+    return Word.of(f"r{number}", b"r%d" % number).stamp
--- /dev/null
+++ b/tests/test_contact.py
@@ -0,0 +1,180 @@
+"""Contact against a reference written from its definition; nothing here sleeps."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from irisdeal.almanac.contact import LEASE, MOST_SEATS, STILL, Contact
+from irisdeal.almanac.members import Members, seat
+
+SEATS = [seat(f"10.{number}.0.1", "d") for number in range(6)]
+OWN = SEATS[0]
+
+
+@dataclass
+class Ask:
+    """One ask of ours: when it was sent, and when it was answered, if it was."""
+
+    seat: str
+    sent: float
+    answered: float | None = None
+
+
+@dataclass
+class Reference:
+    """The definition. In contact at t: there is a moment within the lease before t, such that asks which were sent
+    from then on, and since the process last stood still, were answered by t by a majority of each list, this one
+    counted where it is in it."""
+
+    asks: list[Ask] = field(default_factory=list)
+    woke: float = float("-inf")
+
+    def is_held(self, now: float, lists: list[list[str]], lease: float) -> bool:
+        moments = [now, *(ask.sent for ask in self.asks)]
+        return any(now - lease <= moment <= now and self._is_enough(moment, now, lists) for moment in moments)
+
+    def _is_enough(self, moment: float, now: float, lists: list[list[str]]) -> bool:
+        good = {OWN}
+        for ask in self.asks:
+            if ask.answered is not None and ask.answered <= now and ask.sent >= moment and ask.sent >= self.woke:
+                good.add(ask.seat)
+        return all(2 * sum(member in good for member in members) > len(members) for members in lists if members)
+
+
+def lists() -> st.SearchStrategy[Members]:
+    some = st.lists(st.sampled_from(SEATS), min_size=1, max_size=5, unique=True).map(tuple)
+    return st.builds(Members, st.integers(0, 9), some, st.one_of(st.just(()), some))
+
+
+STEP = st.one_of(
+    st.tuples(st.just("pass"), st.sampled_from([0.0, 0.05, 0.35, 0.5, 1.0, 4.0, 20.0])),
+    st.tuples(st.just("ask"), st.sampled_from(SEATS[1:])),
+    st.tuples(st.just("answer"), st.integers(0, 30)),  # of the n-th ask, however old: links hold answers back
+    st.tuples(st.just("theirs"), st.sampled_from(SEATS[1:])),  # they ask us: nothing is to follow from it
+    st.tuples(st.just("list"), lists()),
+    st.tuples(st.just("tick"), st.none()),
+    st.tuples(st.just("clock"), st.floats(-1e6, 1e6)),  # the time of day is stepped: nobody here reads it
+)
+
+
+@settings(max_examples=400, deadline=None)
+@given(lists(), st.lists(STEP, max_size=40))
+def test_contact_is_what_its_definition_says(members: Members, steps: list[tuple[str, object]]) -> None:
+    contact, reference, now, ticked = Contact(), Reference(), 100.0, None
+    for what, given_ in steps:
+        match what:
+            case "pass":
+                assert isinstance(given_, float)
+                now += given_
+            case "ask":
+                reference.asks.append(Ask(str(given_), now))
+            case "answer":
+                waiting = [ask for ask in reference.asks if ask.answered is None]
+                if waiting:
+                    assert isinstance(given_, int)
+                    ask = waiting[given_ % len(waiting)]
+                    ask.answered = now
+                    contact.heard(ask.seat, ask.sent)
+            case "list":
+                assert isinstance(given_, Members)
+                members = given_
+            case "tick":
+                still = ticked is not None and now - ticked >= STILL
+                assert contact.tick(now) is still
+                reference.woke, ticked = now if still else reference.woke, now
+        expected = reference.is_held(now, [list(members.seats), list(members.former)], LEASE)
+        assert contact.is_held(members, OWN, now) is expected
+        assert (contact.left(members, OWN, now) > 0) <= expected
+        age = contact.age(members, OWN, now)
+        assert age >= 0
+        if age < float("inf") and now - age != now:  # the age is the moment of an ask
+            assert any(abs(ask.sent - (now - age)) < 1e-6 for ask in reference.asks)
+
+
+THREE = Members(0, tuple(SEATS[:3]))
+
+
+def test_it_counts_from_the_asking_not_from_the_answer() -> None:
+    contact = Contact()
+    contact.heard(SEATS[1], 10.0)  # comes at 11.1
+    assert contact.is_held(THREE, OWN, 11.1)
+    assert not contact.is_held(THREE, OWN, 10.0 + LEASE + 0.001)
+
+
+def test_an_answer_that_a_silent_link_held_back_is_as_old_as_its_ask() -> None:
+    contact = Contact()
+    contact.heard(SEATS[1], 10.0)
+    assert not contact.is_held(THREE, OWN, 30.0)
+    contact.heard(SEATS[2], 12.0)  # sent at 12, held back until 30
+    assert not contact.is_held(THREE, OWN, 30.0)
+
+
+def test_a_machine_that_hears_nobody_while_all_hear_it_has_none() -> None:
+    """One way cut: their asks reach us, our asks are not answered. `heard` is for answers alone."""
+    contact = Contact()
+    contact.heard(SEATS[1], 10.0)
+    contact.heard(SEATS[2], 10.0)
+    assert contact.left(THREE, OWN, 10.5) == pytest.approx(LEASE - 0.5)
+    assert contact.age(THREE, OWN, 12.0) == pytest.approx(2.0)
+    assert not contact.is_held(THREE, OWN, 12.0)
+
+
+def test_after_a_freeze_of_four_seconds_it_must_ask_anew() -> None:
+    contact = Contact()
+    assert not contact.tick(10.0)
+    contact.heard(SEATS[1], 10.0)
+    assert contact.tick(14.0)
+    contact.heard(SEATS[2], 10.1)  # asked before, read after
+    assert contact.age(THREE, OWN, 14.0) == float("inf")
+    contact.heard(SEATS[2], 14.0)
+    assert contact.is_held(THREE, OWN, 14.1)
+
+
+def test_rounds_in_which_a_member_is_dead_are_no_freeze_and_keep_contact() -> None:
+    contact, now = Contact(), 10.0
+    for _ in range(20):
+        assert not contact.tick(now)
+        contact.heard(SEATS[1], now)  # the third one answers nothing: the round takes 0.35 s, the pause 0.5
+        for later in (0.0, 0.35, 0.85):
+            assert contact.is_held(THREE, OWN, now + later)
+        now += 0.85
+
+
+def test_while_a_change_of_the_list_is_under_way_both_lists_must_be_heard() -> None:
+    joint = Members(1, tuple(SEATS[1:4]), tuple(SEATS[:3]))
+    contact = Contact()
+    contact.heard(SEATS[1], 10.0)
+    assert not contact.is_held(joint, OWN, 10.0)  # 1 of 1, 2, 3 and 2 of 0, 1, 2
+    contact.heard(SEATS[3], 10.0)
+    assert contact.is_held(joint, OWN, 10.0)
+    assert contact.is_held(joint.settled(), OWN, 10.0)
+    assert not contact.is_held(Members(2, (SEATS[4], SEATS[5])), OWN, 10.0)
+
+
+def test_a_learner_counts_for_nothing_and_no_list_gives_no_contact() -> None:
+    contact = Contact()
+    contact.heard(SEATS[4], 10.0)
+    contact.heard(SEATS[5], 10.0)
+    assert not contact.is_held(THREE, OWN, 10.0)
+    contact.heard(SEATS[1], 10.0)
+    assert not contact.is_held(Members(0, tuple(SEATS[1:4])), OWN, 10.0)  # ourselves a learner: 1 of 3
+
+
+def test_winning_and_losing_is_told_once() -> None:
+    contact = Contact()
+    assert not contact.has_changed(THREE, OWN, 10.0)
+    contact.heard(SEATS[1], 10.0)
+    assert contact.has_changed(THREE, OWN, 10.1)
+    assert not contact.has_changed(THREE, OWN, 10.2)
+    assert contact.has_changed(THREE, OWN, 10.0 + LEASE + 0.01)
+
+
+def test_what_is_remembered_is_bounded() -> None:
+    contact = Contact()
+    for number in range(3 * MOST_SEATS):
+        contact.heard(f"10.0.0.1/{number}", float(number))
+    assert len(contact.asked) <= MOST_SEATS
