Tests of doors and registries under cuts of 20 s, one way

And: freezes and a list that changes.

In virtual time with stand-in stores that reach each other by their rounds alone. At each moment what a door and a registry say of the age of their knowledge is held against what was decided, words never go back, and the bounds are computed from the constants and held against the four deployments.

--- a/tests/core_rig.py
+++ b/tests/core_rig.py
@@ -18,7 +18,7 @@
 from irisdeal.almanac.members import FIRST, Members, seat
 from irisdeal.almanac.register import Value
 from irisdeal.almanac.shelf import Have, Shelf
-from irisdeal.almanac.word import NOTHING, Stamp, Word
+from irisdeal.almanac.word import NOTHING, Word
 from irisdeal.gauge.news import News
 from irisdeal.gauge.registry import Registry
 from irisdeal.gauge.store import Follower
@@ -33,6 +33,16 @@
 ROUND, SEEKING, ANSWER, HOLD = 0.5, 0.12, 0.35, 1.0  # s, the real store's
 
 
+def zone_of(ip: str) -> str:
+    return "z" + ip.split(".")[1]
+
+
+def settings_of(ip: str, hosts: list[str]) -> Settings:
+    return Settings(
+        node_name=ip, role="x", ip=ip, zone=zone_of(ip), port_range=(7000, 7010),
+        seed_peers=tuple(f"{host}:8000" for host in hosts[:3]))
+
+
 class CutNetwork(Network):
     """With cuts by direction: what is on its way is held until they end, and no connection comes up."""
 
@@ -137,7 +147,7 @@
         self.ip, self.words, self.is_full = ip, list[int](), True
         self.registry, self.waking = Registry(1.5), [0]
         self.follower = Follower(self.settings, Shelf(), self.on_word, self.changed)
-        self.news = News(self.follower, self.registry, life, {host: rig.zone(host) for host in rig.hosts},
+        self.news = News(self.follower, self.registry, life, {host: zone_of(host) for host in rig.hosts},
                          lambda: self.is_full)
         self.server = Server(self.handle)
         self.ages: list[tuple[float, int]] = []
@@ -201,13 +211,8 @@
         for number in range(doors):
             self.start_door(f"10.{number % count}.9.{number + 1}")
 
-    def zone(self, ip: str) -> str:
-        return "z" + ip.split(".")[1]
-
     def settings(self, ip: str) -> Settings:
-        return Settings(
-            node_name=ip, role="x", ip=ip, zone=self.zone(ip), port_range=(7000, 7010),
-            seed_peers=tuple(f"{host}:8000" for host in self.hosts[:3]))
+        return settings_of(ip, self.hosts)
 
     def process(self, host: str, make: Callable[[], Coroutine[Any, Any, int]]) -> Machine:
         """One process; what is made is made in its loop."""
@@ -305,7 +310,3 @@
         """Doors at which a word decided after `since` was not in force `bound` s later."""
         return [(door.ip, number, at) for at, number in self.decided if at >= since for door in self.doors
                 if at + bound <= self.world.seconds() and self.in_force(door, at + bound) < number]
-
-
-def stamp(number: int) -> Stamp:
-    return Word.of(f"r{number}", b"r%d" % number).stamp
--- /dev/null
+++ b/tests/test_sources.py
@@ -0,0 +1,329 @@
+"""Doors and registries while a core machine is cut off, cut one way, or frozen, in virtual time.
+
+When doors leave it, when what is decided is in force, and that what they say of the age of their knowledge is true.
+
+Bounds are computed here from the constants of the program, and held against those of the four deployments.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from functools import partial
+from itertools import pairwise
+
+import pytest
+
+from irisdeal.almanac.contact import LEASE
+from irisdeal.almanac.members import FIRST, Members, seat
+from irisdeal.almanac.word import NOTHING
+from irisdeal.gauge import news, store
+from irisdeal.sim.machine import Core, Costs, Machine
+from irisdeal.sim.net import Network
+from irisdeal.sim.world import World
+from irisdeal.vane import sources
+from irisdeal.vane.sources import Sources
+from tests.core_rig import ANSWER, ROUND, CoreRig, DoorPost, settings_of
+
+DEPLOYMENTS = {  # s: contact_ms, apply_ms, revert_slack_ms
+    "cmpsu-gateway": (3.0, 2.5, 0.25), "hanbit-gw": (3.0, 2.5, 0.25),
+    "cmpsu-gateway-grown": (5.0, 3.0, 0.25), "hanbit-gw-grown": (5.0, 3.0, 0.25),
+}
+WAY = 0.04  # s there and back with the work at both ends: 2.8 ms between zones, the rest for a slow processor
+SLACK = 0.02  # s of the grain at which the tests look
+
+# Between two asks that are answered by a quorum: the oldest that a store in order is, with a dead member beside it.
+STORE = ROUND + ANSWER + WAY
+# What a registry tells, and what a door makes of it when it comes and just before the next answer does.
+REGISTRY = STORE + store.PULSE + WAY
+DOOR = max(REGISTRY, news.HOLD) + WAY + news.HOLD + WAY
+# A decided word whose announcement was lost: one round of a store that is in contact, then held asks are answered.
+APPLY = STORE + 2 * WAY
+# A source whose machine is cut off from the core: its store's lease, the next look at it, another one looked for.
+LEAVE_CUT = LEASE + store.PULSE + store.GRACE + WAY
+# One that says nothing: an ask that was sent just before.
+LEAVE_SILENT = sources.ASK
+# To another one, where all that was used was of no use.
+TURN = sources.MOST_PAUSE + 3 * WAY
+
+
+@pytest.mark.parametrize("name", DEPLOYMENTS)
+def test_the_bounds_that_follow_from_the_constants_are_within_the_deployment(name: str) -> None:
+    contact, apply, _ = DEPLOYMENTS[name]
+    assert apply >= APPLY
+    assert apply >= DOOR  # by age alone: whoever is told nothing new knows that there was nothing
+    assert contact >= LEAVE_CUT + TURN
+    assert contact >= LEAVE_SILENT + TURN
+    assert apply >= LEAVE_CUT + TURN  # also where both sources are cut off: then all news waits for the turn
+    assert apply >= LEAVE_SILENT + TURN
+    assert apply >= store.ANSWER + store.PULSE + TURN  # a store alone is silent: its registry asks another's
+
+
+def test_in_order_nobody_says_that_there_is_no_contact() -> None:
+    assert STORE < LEASE
+    assert REGISTRY < store.STALE
+    assert max(REGISTRY, news.HOLD) + WAY < sources.OLD
+    assert DOOR < sources.LOST
+    assert news.HOLD == sources.HOLD == store.HOLD
+
+
+# Days
+
+
+def looked_at(rig: CoreRig, until: float) -> list[str]:
+    """What is wrong at any moment: a word taken back, or an age that says more than is known."""
+    wrong: list[str] = []
+    newest: dict[str, int] = {}
+
+    def look() -> None:
+        now = rig.world.seconds()
+        for door in rig.doors:
+            number = rig.in_force(door, now)
+            if number < newest.get(door.ip, -1) or any(
+                    after[1] <= before[1] for before, after in pairwise(door.words)):
+                wrong.append(f"{now:.2f}: {door.ip} went back to r{number}")
+            newest[door.ip] = number
+            age = door.sources.age(door.sources.loop.time())
+            known = max((decided for at, decided in rig.decided if at <= now - age), default=-1)
+            if number < known:
+                wrong.append(f"{now:.2f}: {door.ip} has r{number}, as of {age:.2f} s ago; r{known} was decided")
+        for host, post in rig.posts.items():
+            age_ = post.follower.age()
+            known = max((n for at, n in rig.decided if age_ is not None and at <= now - age_), default=-1)
+            if post.follower.stamp.number < known:
+                wrong.append(f"{now:.2f}: registry {host} is behind r{known} and says that it is {age_} s old")
+
+    rig.every(0.05, until, look)
+    return wrong
+
+
+def changing(rig: CoreRig, since: float, until: float, without: list[str]) -> None:
+    """A change each 0.37 s, decided by all but these."""
+    def change(number: int) -> None:
+        rig.decide(number, [host for host in rig.hosts if host not in without])
+
+    for number in range(int((until - since) / 0.37)):
+        rig.at(since + number * 0.37, partial(change, number + 1))
+
+
+def uses(rig: CoreRig, host: str, since: float, until: float) -> dict[str, float]:
+    """When each door that used this source was last seen to use it, filled in while the day is played."""
+    last: dict[str, float] = {}
+
+    def look() -> None:
+        for door in rig.doors:
+            now = rig.world.seconds()
+            if host in door.sources.using and now - last.get(door.ip, since) < 3 * SLACK:  # not come to look again
+                last[door.ip] = now
+
+    at = since
+    while at < until:
+        rig.at(at, look)
+        at += SLACK
+    return last
+
+
+CUTS = {"both ways": {}, "hears nobody": {"away": False}, "is heard by nobody": {"here": False}}
+
+
+@pytest.mark.parametrize(("count", "seed"), [(3, 1), (4, 2)])
+@pytest.mark.parametrize("how", CUTS)
+def test_a_core_machine_is_cut_off_for_twenty_seconds(how: str, count: int, seed: int) -> None:
+    rig = CoreRig(count, 8, seed)
+    lost = rig.hosts[0]
+    changing(rig, 3.0, 33.0, [lost])
+    rig.at(8.0, partial(rig.cut, lost, **CUTS[how]))
+    rig.at(28.0, rig.net.join)
+    used, wrong = uses(rig, lost, 8.0, 12.0), looked_at(rig, 34.0)
+    rig.play(34.0)
+    assert used, "nobody used it: nothing is shown"
+    assert max(used.values()) - 8.0 <= LEAVE_CUT + SLACK
+    assert not wrong, wrong[:3]
+    assert not rig.late(APPLY)
+    ages = [age for at, age in rig.posts[lost].ages if 1000 + 8 + LEAVE_CUT < at < 1000 + 28]
+    assert set(ages) <= {-1}, "it went on saying that it was in contact"
+
+
+@pytest.mark.parametrize(("count", "seed"), [(3, 1), (4, 2)])
+def test_a_core_machine_is_cut_off_from_the_doors_as_well(count: int, seed: int) -> None:
+    rig = CoreRig(count, 8, seed)
+    lost = rig.hosts[0]
+    changing(rig, 3.0, 33.0, [lost])
+    rig.at(8.0, partial(rig.cut, lost, from_doors=True))
+    rig.at(28.0, rig.net.join)
+    used, wrong = uses(rig, lost, 8.0, 12.0), looked_at(rig, 34.0)
+    rig.play(34.0)
+    assert used and max(used.values()) - 8.0 <= max(LEAVE_CUT, LEAVE_SILENT) + SLACK
+    assert not wrong, wrong[:3]
+    assert not rig.late(APPLY)
+
+
+@pytest.mark.parametrize(("count", "seed"), [(3, 1), (4, 2), (4, 3)])
+def test_a_core_machine_stands_still_for_four_seconds(count: int, seed: int) -> None:
+    rig = CoreRig(count, 8, seed)
+    lost = rig.hosts[0]
+    changing(rig, 3.0, 20.0, [lost])
+    rig.at(8.0, partial(rig.freeze, lost, 4.0))
+    used, wrong = uses(rig, lost, 8.0, 12.0), looked_at(rig, 22.0)
+    rig.play(22.0)
+    assert used and max(used.values()) - 8.0 <= LEAVE_SILENT + SLACK
+    assert not wrong, wrong[:3]
+    assert not rig.late(APPLY)
+    woke = [age for at, age in rig.posts[lost].ages if 1012.0 <= at < 1012.0 + 3 * WAY]
+    assert all(age < 0 or age <= 3 * WAY * 1000 for age in woke), "told of contact from before the freeze"
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_only_the_store_of_a_machine_stands_still(seed: int) -> None:
+    """Its registry asks another's; no door needs to leave."""
+    rig = CoreRig(3, 6, seed)
+    lost = rig.hosts[0]
+    changing(rig, 3.0, 20.0, [lost])
+    rig.at(8.0, lambda: rig.machines[lost][0].pause(rig.world.now + 4_000_000))
+    wrong = looked_at(rig, 22.0)
+    rig.play(22.0)
+    assert not wrong, wrong[:3]
+    assert not rig.late(APPLY)
+    silent = [at for at, age in rig.posts[lost].ages if age < 0 and at > 1003]
+    assert all(1008 <= at <= 1008 + store.ANSWER + store.PULSE + store.GRACE + 1 for at in silent)
+
+
+def test_two_of_five_are_cut_off_and_doors_that_used_both_turn_in_time() -> None:
+    rig, cut, both = CoreRig(5, 12, 4), list[str](), list[DoorPost]()
+    changing(rig, 3.0, 14.0, cut)
+
+    def cut_both() -> None:
+        cut.extend(rig.doors[0].sources.using)
+        both.extend(door for door in rig.doors if set(door.sources.using) == set(cut))
+        for host in cut:
+            rig.cut(host)
+
+    rig.at(8.0, cut_both)
+    wrong = looked_at(rig, 16.0)
+    rig.play(16.0)
+    assert both
+    assert not wrong, wrong[:3]
+    assert not rig.late(LEAVE_CUT + TURN)
+    assert rig.late(LEASE / 2, since=8.0), "nobody had to wait for the turn: nothing is shown"
+
+
+def test_without_any_contact_doors_keep_what_they_have_say_so_once_and_do_not_press(
+        caplog: pytest.LogCaptureFixture) -> None:
+    caplog.set_level("INFO", "irisdeal")
+    rig = CoreRig(3, 4, 5)
+    changing(rig, 3.0, 8.0, [])
+    for host in rig.hosts:
+        rig.at(8.0, partial(rig.cut, host))
+    rig.at(28.0, rig.net.join)
+    asked: list[int] = []
+    rig.at(13.0, lambda: asked.append(sum(len(post.ages) for post in rig.posts.values())))
+    rig.at(27.0, lambda: asked.append(sum(len(post.ages) for post in rig.posts.values())))
+    ages: list[float] = []
+    rig.at(27.0, lambda: ages.extend(door.sources.age(door.sources.loop.time()) for door in rig.doors))
+    wrong = looked_at(rig, 32.0)
+    rig.play(32.0)
+    assert not wrong, wrong[:3]
+    assert all(19.0 - STORE <= age <= 19.0 + STORE for age in ages), ages
+    assert all(rig.in_force(door, 32.0) == rig.decided[-1][1] for door in rig.doors)
+    lines = Counter(record.getMessage()[:4] for record in caplog.records)
+    assert lines["E411"] == lines["E412"] == 4
+    assert (asked[1] - asked[0]) / 14 / 4 <= 2 * 1.0 / news.HOLD + 2 / sources.LEFT, "asks a second of a door"
+
+
+def test_a_registry_that_returns_is_not_stormed() -> None:
+    """85 doors; one machine is dead for 6 s. What comes to it in any quarter of a second stays under a bound."""
+    rig = CoreRig(4, 85, 6)
+    lost = rig.hosts[0]
+    changing(rig, 3.0, 4.0, [lost])
+    rig.at(6.0, partial(rig.kill, lost))
+    rig.at(12.0, partial(rig.start, lost))
+    came: list[tuple[float, int]] = []
+    old: list[int] = []
+    rig.at(11.9, lambda: old.append(rig.posts[lost].server.connections.__len__()))
+
+    def look() -> None:
+        if rig.world.seconds() > 12.0 and rig.posts[lost].server.listening is not None:
+            came.append((rig.world.seconds(), len(rig.posts[lost].server.connections)))
+
+    rig.every(0.25, 30.0, look)
+    rig.play(30.0)
+    steps = [after - before for (_, before), (_, after) in pairwise(came)]
+    assert came[-1][1] >= 15, "those of its zone are back"
+    # Those in its zone, 22, come back on their own: spread over LEFT s at least, so 22 / 2 x 0.25 and its scatter.
+    assert max(steps) <= 10, steps
+
+
+def test_a_machine_that_left_the_list_is_asked_no_more() -> None:
+    rig = CoreRig(4, 8, 7)
+    lost = rig.hosts[0]
+    changing(rig, 3.0, 5.0, [lost])
+    rest = rig.hosts[1:]
+    rig.at(6.0, lambda: rig.decide(50, rest, Members(1, tuple(seat(host, FIRST) for host in rest))))
+    rig.at(8.0, partial(rig.kill, lost))
+    rig.play(20.0)
+    for door in rig.doors:
+        assert lost not in door.sources.zones and lost not in door.sources.using
+        assert lost not in door.sources.links and lost not in door.sources.fresh
+        assert rig.in_force(door, 20.0) == 50
+    for host in rest:
+        assert lost not in rig.posts[host].follower.links
+
+
+# What one answer does
+
+
+def alone(told: list[object]) -> Sources:
+    """Sources of a door without a network, in a loop that stands."""
+    world = World(1)
+    machine = Machine(world, Network(world), "d", Core(), Costs())
+    made: list[Sources] = []
+
+    async def run() -> int:
+        settings = settings_of("10.1.9.1", ["10.0.0.1", "10.1.0.1", "10.2.0.1"])
+        made.append(Sources(settings, told.append, lambda life, silent: None))
+        return 0
+
+    machine.start(run())
+    world.run(lambda: bool(made), world.now + 1)
+    return made[0]
+
+
+def test_age_counts_only_once_the_word_is_here() -> None:
+    told: list[object] = []
+    one = alone(told)
+    assert one.age(1010.0) == float("inf")
+    assert one._hear_age("10.0.0.1", 1000.0, 300, 7)  # change 7, of which we have nothing
+    assert one.age(1010.0) == float("inf")
+    one.change = 7
+    one._hear_age("10.0.0.1", 1000.0, 300, 7)
+    assert one.age(1001.0) == pytest.approx(1.3)
+    one._hear_age("10.1.0.1", 1000.0, 900, 6)  # older: it takes nothing back
+    assert one.age(1001.0) == pytest.approx(1.3)
+    assert not one._hear_age("10.1.0.1", 1000.9, -1, 9)
+
+
+def test_a_source_whose_knowledge_is_old_is_no_better_than_one_without_contact() -> None:
+    one = alone([])
+    now = one.loop.time()
+    assert one._hear_age("10.0.0.1", now - 0.1, int((sources.OLD - 0.2) * 1000), 0)
+    assert not one._hear_age("10.0.0.1", now - 0.1, int(sources.OLD * 1000), 0)
+
+
+def test_while_a_word_comes_in_pieces_from_one_source_the_other_does_not_bring_it() -> None:
+    one = alone([])
+    one.arrivals.stamp, one.arrivals.got, one.arriving = NOTHING, b"some", "10.0.0.1"
+    assert one._have("10.0.0.1").offset == 4
+    assert one._have("10.1.0.1").offset == 0
+
+
+def test_candidates_that_were_left_come_last_and_the_fresh_ones_of_our_zone_first() -> None:
+    one = alone([])
+    one.zones = {"10.0.0.1": "z0", "10.1.0.1": "z1", "10.2.0.1": "z2"}
+    assert one._candidates()[0] == "10.1.0.1"
+    one._leave("10.1.0.1")
+    assert one._candidates()[-1] == "10.1.0.1"
+    first = one._candidates()[0]
+    one.fresh[first] = one.loop.time() - 30.0
+    assert one._candidates()[1] == first
+    before = one.left["10.1.0.1"]
+    one._leave("10.1.0.1")
+    assert one.left["10.1.0.1"][1] == 2 * before[1]
