--- a/irisdeal/almanac/contact.py
+++ b/irisdeal/almanac/contact.py
@@ -21,7 +21,6 @@
 from __future__ import annotations
 
 from irisdeal.almanac.members import Members
-from irisdeal.mast.events import tell
 
 LEASE = 1.2  # s: a round of 0.5, 0.35 for a dead member in it, and as much again for a slow processor
 STILL = 1.2  # s between two ticks from which the process stood still: two rounds never are so far apart
@@ -36,7 +35,6 @@
         self.asked: dict[str, float] = {}  # seat -> when the newest ask that it answered was sent
         self.since = float("-inf")  # asks sent before count no more
         self.ticked: float | None = None
-        self.was_held = False
 
     def heard(self, seat: str, asked_at: float) -> None:
         """A seat answered an ask of ours that was sent then."""
@@ -52,7 +50,6 @@
         if last is None or now - last < STILL:
             return False
         self.woke(now)
-        tell(242, seconds=round(now - last, 2))
         return True
 
     def woke(self, now: float = float("-inf")) -> None:
@@ -79,12 +76,3 @@
     def left(self, members: Members, own: str, now: float) -> float:
         """s until contact ends if nobody answers any more; 0 where there is none."""
         return max(0.0, self.lease - self.age(members, own, now))
-
-    def has_changed(self, members: Members, own: str, now: float) -> bool:
-        """Whether contact was won or lost since this was asked last: who waits for news is to hear of it."""
-        held = self.is_held(members, own, now)
-        if held == self.was_held:
-            return False
-        self.was_held = held
-        tell(241 if held else 240, list=members.number, members=len(members.voters()))
-        return True
--- a/irisdeal/gauge/station.py
+++ b/irisdeal/gauge/station.py
@@ -10,13 +10,14 @@
 from returns.result import Failure, Success
 
 from irisdeal.almanac.model import read
+from irisdeal.almanac.register import Outcome
 from irisdeal.almanac.shelf import Shelf
 from irisdeal.almanac.word import Word
 from irisdeal.gauge.commands import Beat, Command, Leave, Look, Put, Read, decode
 from irisdeal.gauge.desk import Desk
 from irisdeal.gauge.news import News
 from irisdeal.gauge.registry import MOST_LIVES, Life, Registry, State, hear_life, tell_life
-from irisdeal.gauge.store import AGAIN, Follower, Outcome
+from irisdeal.gauge.store import AGAIN, Follower
 from irisdeal.http1.server import Answer, HttpServer, Request
 from irisdeal.isobar.loads import TELL
 from irisdeal.mast import places
--- a/irisdeal/gauge/store.py
+++ b/irisdeal/gauge/store.py
@@ -28,7 +28,7 @@
 
 from irisdeal.almanac.contact import LEASE
 from irisdeal.almanac.members import Members, ip_of, majority
-from irisdeal.almanac.register import Value
+from irisdeal.almanac.register import Outcome, Value
 from irisdeal.almanac.shelf import Arrivals, Have, Shelf
 from irisdeal.almanac.word import NOTHING, Stamp, Word
 from irisdeal.mast import places
@@ -53,14 +53,6 @@
 GIVEN = 10.0  # s that a machine which left counts as a giver of tokens: twice the windows that there are, 5
 
 
-class Outcome(Enum):
-    """How an order ended."""
-
-    LATER = 0  # not known: to be sent again
-    CONFIRMED = 1  # it is decided, or overtaken by what is
-    OTHER = 2  # another body is decided under its number
-
-
 class Ear(Enum):
     """What an ask showed of a store."""
 
@@ -286,9 +278,9 @@
     async def put(self, word: Word) -> Outcome:
         """Have it decided. LATER at once where no store has contact."""
         body = [word.stamp.number, word.stamp.digest, word.body]
-        answer = await self._order("put", body, lambda told: told != Outcome.LATER.value)
+        answer = await self._order("put", body, lambda told: told != Outcome.LATER)
         try:
-            return Outcome(answer.value_or(Outcome.LATER.value))
+            return Outcome(answer.value_or(Outcome.LATER))
         except ValueError:
             return Outcome.LATER
 
--- a/tests/test_contact.py
+++ b/tests/test_contact.py
@@ -164,15 +164,6 @@
     assert not contact.is_held(Members(0, tuple(SEATS[1:4])), OWN, 10.0)  # ourselves a learner: 1 of 3
 
 
-def test_winning_and_losing_is_told_once() -> None:
-    contact = Contact()
-    assert not contact.has_changed(THREE, OWN, 10.0)
-    contact.heard(SEATS[1], 10.0)
-    assert contact.has_changed(THREE, OWN, 10.1)
-    assert not contact.has_changed(THREE, OWN, 10.2)
-    assert contact.has_changed(THREE, OWN, 10.0 + LEASE + 0.01)
-
-
 def test_what_is_remembered_is_bounded() -> None:
     contact = Contact()
     for number in range(3 * MOST_SEATS):
