Words told as differences and pieces: shelf and arrivals, bounded

And: torn or spliced never whole.

Need: a word went whole, so a door on 2 Mbit/s with a long one never had it, and hundreds of changes crowded out requests. Change: a caller that has one of the last 16 words gets a difference (copies of the base and what is new, walked by the block, packed once for all askers), else the body in packed pieces of 96 KB that go on after a break at any holder; older words are kept as differences.

--- a/irisdeal/almanac/shelf.py
+++ b/irisdeal/almanac/shelf.py
@@ -3,22 +3,48 @@
 A caller says what it has (`Have`); a holder answers with a parcel of what is wanted: a difference against a
 body that the caller has, or a piece of the whole that goes on where the last one ended. `Arrivals` puts parcels
 together and gives the word when it is whole; each word proves itself by its digest, whatever way it came.
+
+A parcel is a list: number and digest of its word, the body's length, the digest of the base (empty for a piece of
+the whole), the length of what is sent piece by piece (the body itself, or the packed difference), this piece's
+place in it, a check over all of these and the piece, and the piece. One is at most `PIECE` bytes and some 150 more.
+
+What holds here:
+1. A word is given out whole only where its digest proves it.
+2. Pieces are put together only where word, base and lengths are the same and the place is the next; one that came
+   already changes nothing.
+3. Whatever cannot be used ends in the whole being asked for anew: nothing can keep a caller from the newest word.
+4. A body that a caller is in the middle of is kept while it is asked for, so that changes that go on do not make
+   it begin anew; the difference to the newest follows.
 """
 
 from __future__ import annotations
 
+import hashlib
+import zlib
+from collections import OrderedDict
 from dataclasses import dataclass
 from typing import Any
 
+from irisdeal.almanac.difference import LEVEL, NoDifference, apply, difference, unpack
 from irisdeal.almanac.word import NOTHING, Stamp, Word
 
-KEPT = 16  # bodies kept as bases of differences
-MOST_KEPT = 24 << 20  # bytes of all of them
+KEPT = 16  # words kept before the newest, as differences against the one after: bases of what callers have
+MOST_KEPT = 4 << 20  # bytes of all of them
+MOST_WHOLE = 2  # older bodies kept whole, the last ones asked for: bases, and what callers are in the middle of
+MOST_BODY = 16 << 20  # bytes of a body: one frame of `telegraph`
+PIECE = 96 << 10  # bytes of a body in one piece, some 27 KB packed; at worst 0.4 s of a link of 2 Mbit/s
+MOST_DIFFERENCE = 48 << 10  # bytes of a packed difference in one piece
+SMALLER = 4  # times that a packed difference must be smaller than the body: packed, that is as much itself
+MOST_PACKED = 8 << 20  # bytes of packed pieces and differences that are kept to be told again
+STUBBORN = 3  # parcels in a row that were no use; at the next one, what is on its way is given up
 
 
 @dataclass(frozen=True, slots=True)
 class Have:
-    """What a caller has: its newest word, and how much of another it has got so far."""
+    """What a caller has: its newest word, and how much of another it has got so far.
+
+    `offset` counts bytes of the other's body, or, below nought, those of a packed difference against `stamp`.
+    """
 
     stamp: Stamp = NOTHING
     arriving: Stamp = NOTHING
@@ -33,48 +59,235 @@
         return Have(Stamp(int(number), bytes(digest)), Stamp(int(other), bytes(other_digest)), int(offset))
 
 
+def _check(number: int, digest: bytes, length: int, base: bytes, size: int, offset: int, piece: bytes) -> int:
+    """Of one parcel: a torn one, or a piece under another's head, is found at once."""
+    head = b"%d %d %d %d " % (number, length, size, offset)
+    return zlib.crc32(piece, zlib.crc32(head + digest + base))
+
+
 class Shelf:
-    """The last bodies that this process held, within bounds."""
+    """The last bodies that this process held, within bounds.
+
+    At most the newest and `MOST_WHOLE` others are whole; `KEPT` and all packed ones take 12 MB: 45 MB in all with
+    bodies of 10 MB, 2 MB with those of 0.3 MB.
+    """
 
     def __init__(self) -> None:
-        self.words: dict[bytes, Word] = {}
+        self.newest: Word | None = None
+        self.older: list[tuple[Stamp, bytes, int]] = []  # the last first: as differences, and lengths
+        self.whole: OrderedDict[bytes, Word] = OrderedDict()
+        self.packed: OrderedDict[tuple[bytes, bytes, int], bytes] = OrderedDict()  # digest, base, place
+        self.packed_bytes = 0
 
     def hold(self, word: Word) -> None:
-        """Keep it; the oldest goes."""
-        self.words.pop(word.stamp.digest, None)
-        self.words[word.stamp.digest] = word
-        while len(self.words) > KEPT or (
-                len(self.words) > 1 and sum(len(held.body) for held in self.words.values()) > MOST_KEPT):
-            del self.words[next(iter(self.words))]
+        """Keep it as the newest; the oldest goes."""
+        if self.newest is None or word.stamp.digest == self.newest.stamp.digest:
+            self.newest = word
+            return
+        before, self.newest = self.newest, word
+        try:
+            back = difference(word.body, before.body)
+        except NoDifference:
+            self.older.clear()  # those before can be made of it alone
+            self._keep_whole(before)
+            return
+        self.older.insert(0, (before.stamp, back, len(before.body)))
+        while len(self.older) > KEPT or sum(len(packed) for _, packed, _ in self.older) > MOST_KEPT:
+            self.older.pop()
+
+    def _keep_whole(self, word: Word) -> None:
+        self.whole[word.stamp.digest] = word
+        self.whole.move_to_end(word.stamp.digest)
+        while len(self.whole) > MOST_WHOLE:
+            self.whole.popitem(last=False)
+
+    def has(self, digest: bytes) -> bool:
+        return digest in self.whole or any(stamp.digest == digest for stamp, _, _ in self.older) or (
+            self.newest is not None and self.newest.stamp.digest == digest)
 
     def get(self, digest: bytes) -> Word | None:
-        return self.words.get(digest)
+        if self.newest is not None and self.newest.stamp.digest == digest:
+            return self.newest
+        if digest in self.whole:
+            self.whole.move_to_end(digest)
+            return self.whole[digest]
+        if self.newest is None or not self.has(digest):
+            return None
+        body = self.newest.body
+        for stamp, packed, length in self.older:
+            body = apply(body, packed, length)
+            if stamp.digest == digest:
+                word = Word(stamp, body)
+                self._keep_whole(word)
+                return word
+        return None
 
     def parcel(self, have: Have, want: Stamp) -> list[Any] | None:
-        """The next parcel of this word for a caller that has that; None where the body is not here."""
-        word = self.words.get(want.digest)
-        return [want.number, want.digest, word.body] if word is not None else None
+        """The next parcel of this word for a caller that has that; None where the body is not here.
+
+        A caller that is in the middle of another, newer than what it has, may get the next piece of that one: its
+        difference to what is wanted comes after it, and is short.
+        """
+        word = self.get(want.digest)
+        if word is None or len(word.body) > MOST_BODY:
+            return None
+        going_on = have.arriving != NOTHING and have.offset > 0
+        if not (going_on and have.arriving == want):
+            packed = self._difference(have.stamp.digest, word)
+            if packed is not None:
+                offset = -have.offset if have.arriving == want and have.offset < 0 else 0
+                return self._difference_parcel(word, have.stamp.digest, packed, offset)
+        if going_on and have.stamp < have.arriving < want:
+            other = self.get(have.arriving.digest)
+            if other is not None and 0 < have.offset < len(other.body):
+                return self._piece(other, have.offset)
+        return self._piece(word, have.offset if going_on and have.arriving == want else 0)
+
+    def _piece(self, word: Word, offset: int) -> list[Any]:
+        length, digest = len(word.body), word.stamp.digest
+        if offset >= length:
+            offset = 0
+        packed = self._packed(digest, b"", offset)
+        if packed is None:
+            packed = self._pack(digest, b"", offset, zlib.compress(word.body[offset:offset + PIECE], LEVEL))
+        check = _check(word.stamp.number, digest, length, b"", length, offset, packed)
+        return [word.stamp.number, digest, length, b"", length, offset, check, packed]
+
+    def _difference_parcel(self, word: Word, base: bytes, packed: bytes, offset: int) -> list[Any]:
+        length, size = len(word.body), len(packed)
+        if offset >= size:
+            offset = 0
+        piece = packed[offset:offset + MOST_DIFFERENCE]
+        check = _check(word.stamp.number, word.stamp.digest, length, base, size, offset, piece)
+        return [word.stamp.number, word.stamp.digest, length, base, size, offset, check, piece]
+
+    def _difference(self, base: bytes, word: Word) -> bytes | None:
+        """Packed once for all callers that have this base; None where the whole is told instead."""
+        if not base or base == word.stamp.digest:
+            return None
+        packed = self._packed(word.stamp.digest, base, -1)
+        if packed is None:
+            other = self.get(base)
+            if other is None:
+                return None
+            try:
+                packed = difference(other.body, word.body)
+            except NoDifference:
+                packed = b""
+            if len(packed) * SMALLER > len(word.body):
+                packed = b""  # kept as well: it is not worked out again
+            self._pack(word.stamp.digest, base, -1, packed)
+        return packed or None
+
+    def _packed(self, digest: bytes, base: bytes, offset: int) -> bytes | None:
+        packed = self.packed.get((digest, base, offset))
+        if packed is not None:
+            self.packed.move_to_end((digest, base, offset))
+        return packed
+
+    def _pack(self, digest: bytes, base: bytes, offset: int, packed: bytes) -> bytes:
+        self.packed[digest, base, offset] = packed
+        self.packed_bytes += len(packed) + len(digest) + len(base)
+        while self.packed_bytes > MOST_PACKED and len(self.packed) > 1:
+            (old, old_base, _), gone = self.packed.popitem(last=False)
+            self.packed_bytes -= len(gone) + len(old) + len(old_base)
+        return packed
+
+
+class AnotherWord(NoDifference):
+    """What came cannot become the word that was announced; it is begun anew, from nothing."""
 
 
 class Arrivals:
-    """Words on their way to this process."""
+    """Words on their way to this process. Holds at most one that is not whole, so `MOST_BODY` bytes."""
 
     def __init__(self, shelf: Shelf) -> None:
         self.shelf = shelf
-        self.stamp, self.got = NOTHING, b""
+        self.held = NOTHING  # the newest word that is held, as last told
+        self.last = NOTHING  # the last one that came whole: a base, also before it holds
+        self.from_nothing = False  # something could not be used: the whole is asked for
+        self.no_use = 0  # parcels in a row
+        self._begin(NOTHING, 0, b"", 0)
+
+    def _begin(self, stamp: Stamp, length: int, base: bytes, size: int) -> None:
+        """Forget what was got so far."""
+        self.stamp, self.length, self.base, self.size = stamp, length, base, size
+        self.got, self.hash = bytearray(), hashlib.sha256()
 
     def have(self, stamp: Stamp) -> Have:
         """What to say when asking; `stamp`: the newest word that is held."""
-        return Have(stamp, self.stamp, len(self.got))
+        self.held = stamp
+        base = max(stamp, self.last)
+        if self.shelf.has(self.stamp.digest) or (self.base and self.base != base.digest):
+            self._begin(NOTHING, 0, b"", 0)
+        if self.from_nothing and not self.got:
+            return Have()
+        return Have(base, self.stamp, -len(self.got) if self.base else len(self.got))
 
     def take(self, parcel: list[Any]) -> Word | None:
         """The word, where it is whole and proves itself (it is on the shelf then).
 
-        None where more is to come, or where the parcel was no use (what was got so far is forgotten then).
+        None where more is to come, or where the parcel was no use. One that came before, or is of another word
+        while this one goes on, changes nothing; after `STUBBORN` in a row, and at once where a word that is whole
+        by its length is another by its digest, what was got so far is forgotten and the whole is asked for.
         """
-        number, digest, body = parcel
-        word = Word(Stamp(int(number), bytes(digest)), bytes(body))
-        if not word.is_whole():
+        try:
+            number, digest, length, base, size, offset, check, piece = parcel
+            if not (all(type(figure) is int for figure in (number, length, size, offset, check))
+                    and all(type(data) is bytes for data in (digest, base, piece))):
+                raise NoDifference("no parcel")
+            if _check(number, digest, length, base, size, offset, piece) != check:
+                raise NoDifference("torn")
+            if not (0 < length <= MOST_BODY and 0 < size <= MOST_BODY and 0 <= offset < size
+                    and (base or size == length)):
+                raise NoDifference("lengths that no parcel has")
+            return self._take(Stamp(number, digest), length, base, size, offset, piece)
+        except (NoDifference, TypeError, ValueError) as error:
+            self.no_use += 1
+            if isinstance(error, AnotherWord) or self.no_use > STUBBORN:
+                self._begin(NOTHING, 0, b"", 0)
+                self.from_nothing, self.no_use = True, 0
             return None
+
+    def _take(self, stamp: Stamp, length: int, base: bytes, size: int, offset: int, piece: bytes) -> Word | None:
+        if self.shelf.has(stamp.digest):  # from another source, a moment ago
+            self.from_nothing = False
+            return self.shelf.get(stamp.digest)
+        if (stamp, length, base, size) != (self.stamp, self.length, self.base, self.size):
+            goes_on = bool(self.got) and not self.base and self.stamp > self.held and self.no_use < STUBBORN
+            if offset > 0 or goes_on:
+                raise NoDifference("of another word than the one on its way")
+            if base and not self.shelf.has(base):
+                raise AnotherWord("the base is not here")
+            if not base:
+                self.last = NOTHING  # told as a base, it was none to this source
+            self._begin(stamp, length, base, size)
+        if offset != len(self.got):
+            raise NoDifference("doubled, or out of order")
+        more = piece if base else unpack(piece, min(PIECE, size - offset))
+        if not 0 < len(more) <= size - offset:
+            raise NoDifference("an empty piece, or more than was announced")
+        self.got += more
+        self.hash.update(more)
+        self.no_use = 0
+        return self._whole() if len(self.got) == size else None
+
+    def _whole(self) -> Word:
+        """What was got is all there is: the word. AnotherWord where it is not the one that was announced."""
+        body, proof = bytes(self.got), self.hash
+        if self.base:
+            held = self.shelf.get(self.base)
+            if held is None:
+                raise AnotherWord("the base is here no more")
+            try:
+                body = apply(held.body, body, self.length)
+            except NoDifference as error:
+                raise AnotherWord(str(error)) from error
+            proof = hashlib.sha256(body)
+        if proof.digest() != self.stamp.digest:
+            raise AnotherWord("whole by its length, another by its digest")
+        word = Word(self.stamp, body)
+        self._begin(NOTHING, 0, b"", 0)
+        self.last, self.from_nothing = word.stamp, False
         self.shelf.hold(word)
         return word
