Calls: one table of all kinds; one call's time-out no longer ends the others

A call that ran out of time dropped its connection with all that was out on it: a lend of 40 ms took a drain's telling with it. An answer was matched by a number alone, True and 1.0 passed for 1, a call that came twice ran twice, a frame with two items lost the second, an error in a quick answer ended the connection, and ten asks at a dead machine waited for ten attempts to connect in a row.

telegraph/calls.py is the table (who may send again, what names it, what a reset and a silence mean); a kind that is not in it cannot be sent. A call is given up alone; a hung connection is replaced by the next call and ends with its last one. Connecting counts as a part of a call's time and is shared. Numbers rise on a connection and run once.

--- a/irisdeal/mast/events.py
+++ b/irisdeal/mast/events.py
@@ -29,6 +29,9 @@
     302: (INFO, "a backend is gone"),
     303: (WARNING, "a backend is silent"),
     304: (WARNING, "a drain could not be told to enough of the core"),
+    320: (WARNING, "stood still: tokens, parts and places of before are dropped"),
+    321: (WARNING, "tokens were asked or lent under an older term and do not count"),
+    322: (INFO, "takes its part of the quotas again"),
     400: (INFO, "a configuration is in force"),
     401: (INFO, "ready"),
     402: (INFO, "not ready"),
@@ -38,6 +41,9 @@
     406: (ERROR, "a configuration that was told cannot be read"),
     407: (WARNING, "connections that outlasted the time to end were cut"),
     500: (WARNING, "a peer sent a frame that cannot be read"),
+    510: (WARNING, "a peer answered what was not asked; its connection ends"),
+    511: (WARNING, "a call came twice; it is not run, and its connection ends"),
+    512: (WARNING, "a backend answered more than once; the connection ends"),
     900: (ERROR, "an invariant does not hold"),
 }
 
--- /dev/null
+++ b/irisdeal/telegraph/calls.py
@@ -0,0 +1,140 @@
+"""Every call between our processes and to and from outside, as data: a kind that is not here cannot be sent.
+
+A call is known by its number on its connection, and its answer by the same two: numbers only rise on one
+connection and a connection ends with either process, so no answer of an earlier life, of another connection or
+that comes twice is taken for this one. A link never sends a call again: whether it may be sent again, and by whom,
+is what stands here. No input or output.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import Enum
+
+
+class Again(Enum):
+    """Who may send a call again after a reset or a silence."""
+
+    ANYONE = "anyone, at any time"  # to be told twice is to be told once
+    ASKER = "who asked, or another door that it is sent to"  # the body names it, and the answer is the same
+    NEVER = "nobody"  # what it takes is taken each time
+    UNRUN = "the door, where it has not run"
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """One kind. `word`: may be told one way, without an answer."""
+
+    kind: str
+    asker: str
+    answerer: str
+    again: Again
+    named: str  # what names it, for whom it comes to twice
+    reset: str  # what is known after a reset once the first byte was sent
+    silence: str  # what whoever asked does after its time
+    word: bool = False
+
+
+NUMBER = "number of the call, connection"  # what each answer between our processes is matched by
+
+_NOTHING = "nothing: it is asked anew"
+_ANEW = "asks the next one, from what it has"
+
+CALLS = {call.kind: call for call in (
+    # Between stores
+    Call("state", "almanac", "almanac", Again.ANYONE, "the seat in the report", _NOTHING, "asks again next round"),
+    Call("prepare", "almanac", "almanac", Again.ASKER, "the ballot", "the promise may stand",
+         "goes on with those that answered, else a higher ballot"),
+    Call("accept", "almanac", "almanac", Again.ASKER, "the ballot, with its one value", "it may be accepted",
+         "goes on with those that answered, else a higher ballot"),
+    Call("bring", "almanac", "almanac", Again.ANYONE, "number and digest of the body", "it may be held",
+         "brings it again with the next round"),
+    Call("fetch", "almanac", "almanac", Again.ANYONE, "number and digest of the body", _NOTHING,
+         "asks the next one that has it"),
+    Call("decided", "almanac", "almanac", Again.ANYONE, "the ballot, with its one value", _NOTHING,
+         "the next `state` tells it", word=True),
+    Call("keep", "almanac", "almanac", Again.ANYONE, "number and digest of the body", "it may be held",
+         "counts it as not held"),
+    # The registry at the store
+    Call("watch", "gauge", "almanac", Again.ANYONE, "what the asker has", _NOTHING, _ANEW),
+    Call("put", "gauge", "almanac", Again.ASKER, "number and digest of the body", "it may be decided",
+         "503: the operator sends it again"),
+    Call("read", "gauge", "almanac", Again.ANYONE, "-", _NOTHING, "503: the operator asks again"),
+    # Doors at registries
+    Call("news", "vane", "gauge", Again.ANYONE, "what the door has, and the registry's life", _NOTHING, _ANEW),
+    Call("lives", "vane", "gauge", Again.ANYONE, "each life's id, state and count", "they may be known",
+         "nothing: another source has them, and beats come"),
+    Call("count", "vane", "gauge", Again.ANYONE, "the door and the interval's number", "it may be counted",
+         "tells the next one: counted twice in one total at most"),
+    Call("place", "vane", "gauge", Again.NEVER, "-",
+         "a token, a repeat and a place may be taken: the place is free once its connection ends",
+         "asks another or goes by its own view; the place of a late answer is told as ended"),
+    Call("wait", "vane", "gauge", Again.NEVER, "-", "a place may be taken: free once its connection ends",
+         "chooses by itself; the place of a late answer is told as ended"),
+    Call("ended", "vane", "gauge", Again.ANYONE, "the place's number, which begins elsewhere in each life",
+         "the place may count until its time is over", "-", word=True),
+    # Between registries
+    Call("told", "gauge", "gauge", Again.ANYONE, "each life's id, state and count", "they may be known",
+         "tells it again with the next beat; an end is not acknowledged"),
+    Call("all", "gauge", "gauge", Again.ANYONE, "-", _NOTHING, "asks again 0.5 s later"),
+    Call("sums", "gauge", "gauge", Again.ANYONE, "the registry and the interval's number", "it may be heard",
+         "the next one counts", word=True),
+    Call("loads", "gauge", "gauge", Again.ANYONE, "the registry; the newest counts, for 1.5 s", "it may be heard",
+         "the next one counts", word=True),
+    Call("lend", "gauge", "gauge", Again.NEVER, "-", "tokens may be gone there, and come nowhere",
+         "goes without: they are lost until they refill, and never doubled"),
+)}
+
+OUTSIDE = (
+    Call("a request", "client", "vane", Again.UNRUN, "X-Irisdeal-Attempt-Id, one for each try",
+         "the client's own rules: the door answers one connection's requests in their order",
+         "the client's; a client that has left gets no further attempt"),
+    Call("an attempt", "vane", "backend", Again.UNRUN,
+         "X-Irisdeal-Attempt-Id, with X-Irisdeal-Target-Backend the life",
+         "it may have run: sent again only where the route is idempotent, and never promised",
+         "likewise; the connection is done with, so a late answer meets nobody"),
+    Call("POST heartbeat", "backend", "gauge", Again.ANYONE, "the life's id and `call_count`",
+         "it may be known", "the backend calls the next door"),
+    Call("POST deregister", "backend", "gauge", Again.ANYONE, "the life's id", "it may be known",
+         "the backend calls the next door"),
+    Call("POST /config/replace", "operator", "gauge", Again.ASKER, "the version and the body's digest",
+         "it may be decided", "the operator sends it again, to any door"),
+    Call("GET /config/read", "operator", "gauge", Again.ANYONE, "-", _NOTHING, "the operator asks again"),
+    Call("GET /status", "anyone", "gauge", Again.ANYONE, "-", _NOTHING, "-"),
+    Call("GET /readiness", "platform", "vane", Again.ANYONE, "-", _NOTHING, "two misses, and the door is out"),
+)
+
+
+def name_of(peer: str) -> str:
+    """Who a peer is, whichever of its connections this is: `vane 10.1.0.3` of `vane 10.1.0.3#17`."""
+    return peer.partition("#")[0]
+
+
+def may_send(kind: str, is_word: bool) -> str | None:
+    """Why this cannot be sent, None where it can."""
+    call = CALLS.get(kind)
+    if call is None:
+        return f"no call {kind!r}"
+    return f"{kind!r} wants an answer" if is_word and not call.word else None
+
+
+def table(calls: Iterable[Call], matched: str) -> str:
+    """These calls as a table of a page. `matched`: what an answer is matched by."""
+    heads = ("call", "from, to", "again by", "named by", "answer matched by", "a reset after the first byte",
+             "a silence")
+    lines = [f"| {' | '.join(heads)} |", "| --- " * len(heads) + "|"]
+    lines += [f"| `{call.kind}`{', a word' if call.word else ''} | {call.asker}, {call.answerer} "
+              f"| {call.again.value} | {call.named} | {'no answer' if call.word else matched} "
+              f"| {call.reset} | {call.silence} |" for call in calls]
+    return "\n".join(lines) + "\n"
+
+
+def page() -> str:
+    """The tables in docs/design/control.md."""
+    return (table(CALLS.values(), NUMBER) + "\nFrom and to outside:\n\n"
+            + table(OUTSIDE, "order on its connection; to a backend its id as well"))
+
+
+if __name__ == "__main__":
+    print(page(), end="")
--- a/irisdeal/telegraph/frames.py
+++ b/irisdeal/telegraph/frames.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from io import BytesIO
 from typing import Any
 
 import cbor2
@@ -38,9 +39,12 @@
                 raise BadFrame(f"{length} bytes announced, most {MOST_FRAME}")
             if len(self.rest) < HEAD + length:
                 return
-            body = bytes(self.rest[HEAD:HEAD + length])
+            body = BytesIO(self.rest[HEAD:HEAD + length])
             del self.rest[:HEAD + length]
             try:
-                yield cbor2.loads(body)
+                item = cbor2.load(body)
             except Exception as error:  # its decoder raises more kinds than its own
                 raise BadFrame(repr(error)) from error
+            if body.tell() != length:
+                raise BadFrame(f"{length - body.tell()} bytes behind the item")
+            yield item
--- a/irisdeal/telegraph/link.py
+++ b/irisdeal/telegraph/link.py
@@ -1,7 +1,14 @@
 """Calls between processes: a link that connects when it is needed, and the side that answers.
 
-Every call has a time; one that runs out ends the connection, since a dead machine says nothing and whatever
-is written to it hangs. Calls and answers carry a number, so a long ask does not hold up the others.
+Every call has a time, connecting counted. One that runs out is given up alone: a long ask and a short one over the
+same connection do not share their fate. A connection over which nothing at all was heard since such a call was sent
+is taken for hung, since a dead machine says nothing and whatever is written to it hangs: the next call goes over
+a new one, and the old one ends once no call is out on it. Whatever is heard over it meanwhile shows that it is not.
+
+An answer is matched by its number on its own connection. Numbers rise on one connection and never come again, so
+a late answer, one that comes twice or one to a call of an earlier life meets nobody; `on_late` hears of an answer
+that came after its time, since what it gave may have to be given back. An answer to what was never asked ends the
+connection: its other answers cannot be trusted either. A link sends each call once.
 """
 
 from __future__ import annotations
@@ -9,6 +16,7 @@
 import asyncio
 import socket
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from typing import Any, cast
 
 from returns.result import Failure, Result, Success
@@ -17,17 +25,21 @@
 from irisdeal.mast.process import Tasks
 from irisdeal.mast.settings import Address
 from irisdeal.mast.trouble import Trouble
+from irisdeal.telegraph.calls import may_send, name_of
 from irisdeal.telegraph.frames import BadFrame, Reader, encode
 
 CONNECT = 0.4  # s to come up: over a hundred times the delay within a region
 USER_TIMEOUT = 2000  # ms that written bytes may stay unacknowledged
 MOST_CALLS = 256  # calls of one connection at work at once; more are answered with an error
+MOST_LATE = 1024  # calls of one connection that were given up and may still be answered; then it is done with
 
+HELLO = 0  # the number of a connection's first item: who calls
 ONE_WAY = -1  # the number of a word that wants no answer
 
 Handler = Callable[[str, str, Any], Awaitable[Any]]  # peer, kind, body
 Quick = Callable[[str, str, Any], Any]  # likewise, answered at once; `LATER` where it cannot be
 LATER = object()
+OnLate = Callable[[str, Any], None]  # kind, the answer's body
 
 
 def tune(transport: asyncio.BaseTransport) -> None:
@@ -38,35 +50,111 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT)
 
 
+@dataclass(slots=True)
+class _Asked:
+    """A call that is out. `since`, `until`: s on the loop's clock."""
+
+    kind: str
+    since: float
+    until: float
+    answer: asyncio.Future[Result[Any, Trouble]]
+
+
 class _Calls(asyncio.Protocol):
     """The calling end of one connection."""
 
-    def __init__(self) -> None:
-        self.reader, self.open = Reader(), True
+    def __init__(self, peer: str, on_late: OnLate) -> None:
+        self.peer, self.on_late, self.loop = peer, on_late, asyncio.get_running_loop()
+        self.reader, self.open, self.hung, self.retired = Reader(), True, False, False
         self.transport: asyncio.Transport | None = None
-        self.asked: dict[int, asyncio.Future[Result[Any, str]]] = {}
+        self.asked: dict[int, _Asked] = {}
+        self.late: dict[int, str] = {}  # number -> kind, of those given up that may still be answered
+        self.number = 0
+        self.heard = self.loop.time()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
         tune(transport)
 
     def data_received(self, data: bytes) -> None:
+        if not self.open:
+            return
+        self.heard, self.hung = self.loop.time(), False
         try:
             for item in self.reader.feed(data):
-                number, good, body = item
-                asked = self.asked.pop(number, None)
-                if asked is not None and not asked.done():
-                    asked.set_result(Success(body) if good else Failure(str(body)))
-        except (BadFrame, ValueError, TypeError) as error:
-            tell(500, error=error)
+                if not self.open:
+                    return
+                self._take(item)
+        except BadFrame as error:
+            tell(500, peer=self.peer, error=error)
+            self.drop()
+        self._rest()
+
+    def _take(self, item: Any) -> None:
+        if type(item) is not list or len(item) != 3 or type(item[0]) is not int or type(item[1]) is not bool:
+            raise BadFrame("no answer")  # True is 1 and 1.0 is 1 to a dict: only whole numbers are numbers
+        number, good, body = item
+        asked = self.asked.get(number)
+        if asked is not None and self.heard <= asked.until:
+            del self.asked[number]
+            if not asked.answer.done():
+                asked.answer.set_result(
+                    Success(body) if good else Failure(Trouble(asked.kind, self.peer, str(body))))
+            return
+        if asked is not None:  # its time is over, though its timer has not been seen yet: we stood still
+            self.give_up(number)
+        kind = self.late.pop(number, None)
+        if kind is None:
+            tell(510, peer=self.peer, call=number, last=self.number)
+            return self.drop()
+        if good:
+            self.on_late(kind, body)
+
+    def ask(self, kind: str, body: Any, within: float) -> tuple[int, asyncio.Future[Result[Any, Trouble]]]:
+        """Send a call. ValueError where it is too long."""
+        assert self.transport is not None
+        self.number += 1
+        frame = encode([self.number, kind, body])
+        now, answer = self.loop.time(), self.loop.create_future()
+        self.asked[self.number] = _Asked(kind, now, now + within, answer)
+        self.transport.write(frame)
+        return self.number, answer
+
+    def expire(self, number: int) -> None:
+        """Its time is over."""
+        asked = self.asked.get(number)
+        if asked is not None:
+            self.hung |= self.heard <= asked.since
+            self.give_up(number)
+
+    def give_up(self, number: int) -> None:
+        """Nobody waits for it any more."""
+        asked = self.asked.pop(number, None)
+        if asked is None:
+            return
+        self.late[number] = asked.kind
+        if not asked.answer.done():
+            asked.answer.set_result(Failure(Trouble(
+                asked.kind, self.peer, f"silent for {asked.until - asked.since:g} s")))
+        if len(self.late) > MOST_LATE:
+            self.drop()
+        self._rest()
+
+    def retire(self) -> None:
+        """Another connection takes its place; it ends with the last call that is out on it."""
+        self.retired = True
+        self._rest()
+
+    def _rest(self) -> None:
+        if self.retired and not self.asked:
             self.drop()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.open = False
         asked, self.asked = self.asked, {}
-        for waiting in asked.values():
-            if not waiting.done():
-                waiting.set_result(Failure("the connection ended"))
+        for one in asked.values():
+            if not one.answer.done():
+                one.answer.set_result(Failure(Trouble(one.kind, self.peer, "the connection ended")))
 
     def drop(self) -> None:
         self.open = False
@@ -77,66 +165,87 @@
 class Link:
     """One process as seen by another: `call` it, and hear its answer or the trouble."""
 
-    def __init__(self, address: Address, name: str) -> None:
+    def __init__(self, address: Address, name: str, on_late: OnLate | None = None) -> None:
+        """`on_late`: hears the kind and the body of each good answer that came after its time."""
         self.address, self.name = address, name
         self.peer = f"{address[0]}:{address[1]}"
+        self.on_late: OnLate = on_late or (lambda kind, body: None)
         self.calls: _Calls | None = None
-        self.connecting: asyncio.Lock | None = None
-        self.number = 0
+        self.connecting: asyncio.Task[_Calls | str] | None = None
 
-    async def _connected(self) -> _Calls:
-        if self.connecting is None:
-            self.connecting = asyncio.Lock()
-        async with self.connecting:
-            if self.calls is None or not self.calls.open:
-                loop = asyncio.get_running_loop()
-                async with asyncio.timeout(CONNECT):
-                    _, calls = await loop.create_connection(_Calls, *self.address)
-                self.calls = calls
-                assert calls.transport is not None
-                calls.transport.write(encode([0, "hello", self.name]))
+    async def _connect(self) -> _Calls | str:
+        """A new connection, which takes the place of the one that there is; or why there is none."""
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT):
+                _, calls = await loop.create_connection(lambda: _Calls(self.peer, self.on_late), *self.address)
+        except (OSError, TimeoutError) as error:
+            return f"not connected: {error or 'timed out'}"
+        finally:
+            self.connecting = None
+        if not calls.open or calls.transport is None:
+            return "not connected: closed as it came up"
+        calls.transport.write(encode([HELLO, "hello", self.name]))
+        if self.calls is not None:
+            self.calls.retire()
+        self.calls = calls
+        return calls
+
+    async def _connected(self, within: float) -> _Calls | str:
+        """A connection to write to, or why there is none in time. All that wait for one wait for the same."""
+        if self.calls is not None and self.calls.open and not self.calls.hung:
             return self.calls
+        if self.connecting is None:
+            self.connecting = asyncio.ensure_future(self._connect())
+        connecting = self.connecting
+        done, _ = await asyncio.wait({connecting}, timeout=within)
+        if not done or connecting.cancelled():
+            return "not connected: timed out"
+        return connecting.result()
 
     async def call(self, kind: str, body: Any, within: float) -> Result[Any, Trouble]:
-        """The answer to this call within so many seconds, or the trouble."""
+        """The answer to this call within so many s, or the trouble. It is sent once. KeyError: no such call."""
+        if (why := may_send(kind, is_word=False)) is not None:
+            raise KeyError(why)
+        loop = asyncio.get_running_loop()
+        until = loop.time() + within
+        calls = await self._connected(within)
+        if isinstance(calls, str) or not calls.open:
+            why = calls if isinstance(calls, str) else "not connected: closed"
+            return Failure(Trouble(kind, self.peer, why, never_sent=True))
         try:
-            calls = await self._connected()
-        except (OSError, TimeoutError) as error:
-            return Failure(Trouble(kind, self.peer, f"not connected: {error or 'timed out'}", never_sent=True))
-        self.number += 1
-        number = self.number
-        asked: asyncio.Future[Result[Any, str]] = asyncio.get_running_loop().create_future()
-        calls.asked[number] = asked
-        assert calls.transport is not None
-        calls.transport.write(encode([number, kind, body]))
+            number, answer = calls.ask(kind, body, max(0.0, until - loop.time()))
+        except ValueError as error:
+            return Failure(Trouble(kind, self.peer, str(error), never_sent=True))
+        timer = loop.call_at(until, calls.expire, number)
         try:
-            async with asyncio.timeout(within):
-                answer = await asked
-        except TimeoutError:
-            calls.drop()
-            return Failure(Trouble(kind, self.peer, f"silent for {within:g} s"))
+            return await answer
         finally:
-            calls.asked.pop(number, None)
-        return answer.alt(lambda detail: Trouble(kind, self.peer, detail))
+            timer.cancel()
+            calls.give_up(number)  # where whoever asked was cancelled
 
     def tell(self, kind: str, body: Any) -> bool:
-        """A word that wants no answer; False where there is no connection for it."""
+        """A word that wants no answer; False where it is not likely to come there: no connection, or a hung one."""
+        if (why := may_send(kind, is_word=True)) is not None:
+            raise KeyError(why)
         calls = self.calls
         if calls is None or not calls.open or calls.transport is None:
             return False
         calls.transport.write(encode([ONE_WAY, kind, body]))
-        return True
+        return not calls.hung
 
     def close(self) -> None:
+        if self.connecting is not None:
+            self.connecting.cancel()
         if self.calls is not None:
             self.calls.drop()
 
 
 class _Answers(asyncio.Protocol):
-    """The answering end of one connection."""
+    """The answering end of one connection. `peer`: who calls and over which one, as `vane 10.1.0.3#17`."""
 
     def __init__(self, server: Server) -> None:
-        self.server, self.reader, self.peer, self.at_work = server, Reader(), "?", 0
+        self.server, self.reader, self.peer, self.at_work, self.last = server, Reader(), "", 0, HELLO
         self.transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -147,49 +256,87 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
         self.server.connections.discard(self)
-        if self.server.lost is not None:
+        self._lost()
+
+    def _lost(self) -> None:
+        if self.server.lost is not None and self.peer:
             self.server.lost(self.peer)
 
     def data_received(self, data: bytes) -> None:
         try:
             for item in self.reader.feed(data):
-                number, kind, body = item
-                if number == 0:
-                    self.peer = str(body)
-                elif (quick := self.server.quick) is not None and (
-                        answer := quick(self.peer, str(kind), body)) is not LATER:
-                    if number != ONE_WAY:
-                        self._write([number, True, answer])
-                elif self.at_work >= MOST_CALLS:
-                    self._write([number, False, "too many calls at once"])
-                else:
-                    self.at_work += 1
-                    self.server.tasks.start(self._answer(number, str(kind), body))
-        except (BadFrame, ValueError, TypeError) as error:
+                if self.transport is None:
+                    return
+                self._take(item)
+        except BadFrame as error:
             tell(500, peer=self.peer, error=error)
             if self.transport is not None:
                 self.transport.abort()
 
+    def _take(self, item: Any) -> None:
+        """One item. BadFrame where it is none, or not in its order: nothing behind it can be trusted."""
+        if type(item) is not list or len(item) != 3 or type(item[0]) is not int or type(item[1]) is not str:
+            raise BadFrame("no call")
+        number, kind, body = item
+        if number == HELLO:
+            if self.peer:
+                raise BadFrame("a second name")
+            self.peer = self.server.peer(str(body))
+            return
+        if not self.peer:
+            raise BadFrame("a call before a name")
+        is_word = number == ONE_WAY
+        if not is_word:
+            if number <= self.last:  # it came twice: what it takes would be taken twice
+                tell(511, peer=self.peer, kind=kind, call=number, last=self.last)
+                raise BadFrame("a call that was heard before")
+            self.last = number
+        if (why := may_send(kind, is_word)) is not None:
+            return self._write(number, False, why)
+        self._run(number, kind, body)
+
+    def _run(self, number: int, kind: str, body: Any) -> None:
+        if self.server.quick is not None:
+            try:
+                answer = self.server.quick(self.peer, kind, body)
+            except Exception as error:  # as of a handler: the caller must hear of it, and the others go on
+                tell(105, call=kind, peer=self.peer, error=repr(error))
+                return self._write(number, False, repr(error))
+            if answer is not LATER:
+                return self._write(number, True, answer)
+        if self.at_work >= MOST_CALLS:
+            return self._write(number, False, "too many calls at once")
+        self.at_work += 1
+        self.server.tasks.start(self._answer(number, kind, body))
+
     async def _answer(self, number: int, kind: str, body: Any) -> None:
+        good, answer = False, cast(Any, "ended")
         try:
-            answer = [number, True, await self.server.handler(self.peer, kind, body)]
+            good, answer = True, await self.server.handler(self.peer, kind, body)
         except Exception as error:  # whatever it is, the caller must hear of it
             tell(105, call=kind, peer=self.peer, error=repr(error))
-            answer = [number, False, repr(error)]
+            answer = repr(error)
         finally:
             self.at_work -= 1
-        if number != ONE_WAY:
-            self._write(answer)
+        if self.transport is None:
+            self._lost()  # what it was given came after its end was heard
+        self._write(number, good, answer)
 
-    def _write(self, answer: list[Any]) -> None:
-        if self.transport is not None:
-            self.transport.write(encode(answer))
+    def _write(self, number: int, good: bool, answer: Any) -> None:
+        if self.transport is None or number == ONE_WAY:
+            return
+        try:
+            frame = encode([number, good, answer])
+        except ValueError as error:  # too long: silence would be taken for a dead machine
+            frame = encode([number, False, str(error)])
+        self.transport.write(frame)
 
 
 class Server:
     """Answers the calls that come to an address. A handler that raises answers with the error.
 
-    `quick` is asked first, and `lost` hears of each peer whose connection ended.
+    `quick` is asked first, and `lost` hears of each connection that ended, by the name under which its calls came;
+    again, where a call that it had sent was answered only behind its end.
     """
 
     def __init__(
@@ -198,6 +345,12 @@
         self.handler, self.quick, self.lost, self.tasks = handler, quick, lost, Tasks()
         self.connections: set[_Answers] = set()
         self.listening: asyncio.Server | None = None
+        self.met = 0
+
+    def peer(self, name: str) -> str:
+        """A new connection's name: who calls, and a number that no other connection has."""
+        self.met += 1
+        return f"{name_of(name)}#{self.met}"
 
     async def listen(self, address: Address) -> None:
         loop = asyncio.get_running_loop()
