Places belong to the connection over which they were given, and numbers to a life

A door has two connections to its registry, one for news: when that one ended, or a former one was noticed late, all places of the door were freed and its word was forgotten. Numbers of places began at 0 in each life of a registry, so an end told to the next life freed another's place.

An end is taken over any connection of the door; numbers begin anywhere in 31 bits.

--- a/irisdeal/gauge/desk.py
+++ b/irisdeal/gauge/desk.py
@@ -20,6 +20,7 @@
 from irisdeal.isobar.loads import Loads, key
 from irisdeal.isobar.placing import Placer
 from irisdeal.mast.settings import Settings
+from irisdeal.telegraph.calls import name_of
 from irisdeal.telegraph.link import LATER
 
 MOST_HOLD = 2.0  # s that an ask may wait for room
@@ -58,6 +59,7 @@
         self.repeats: dict[str, Repeats] = {}
         self.ip, self.lend_from, self.members = settings.ip, lend_from, members
         self.borrowing: dict[str, tuple[str, asyncio.Future[None]]] = {}
+        self.counting: dict[int, str] = {}  # door -> the connection over which it counted last
         self.denied: dict[str, float] = {}  # tenant -> until when no registry is asked to lend
 
     def quick(self, peer: str, kind: str, body: Any) -> Any:
@@ -161,8 +163,11 @@
             self._wake(service)
 
     def lost(self, peer: str) -> None:
-        """A door's connection ended: not silent, it moved or is gone."""
-        self.counter.leave(key(peer))
+        """A door's connection ended: not silent, it moved or is gone, if this is the one over which it counts."""
+        door = key(name_of(peer))
+        if self.counting.get(door, peer) == peer:
+            self.counting.pop(door, None)
+            self.counter.leave(door)
         for service in self.placer.leave(peer):
             self._wake(service)
 
@@ -244,7 +249,9 @@
         now = self.loop.time()
         self.edge.hear(position, now)
         if number >= 0:
-            self.counter.hear(key(peer), number, figures, now)
+            door = key(name_of(peer))
+            self.counting[door] = peer
+            self.counter.hear(door, number, figures, now)
         total = self.counter.total
         return [round(self.edge.position(now), 4), total.doors, total.number,
                 {tenant: [round(figure, 3) for figure in total.figures[tenant]]
--- a/irisdeal/isobar/placing.py
+++ b/irisdeal/isobar/placing.py
@@ -1,9 +1,10 @@
 """Places at backends, given out by a registry to its doors. Time and chance are arguments; no input or output.
 
 Rules this file obeys. A place is a hint: the door that asked checks the life against what it knows itself, and
-goes by its own view where no registry answers. A place that was given counts until its door tells its end, its
-connection ends, or its time is over, whichever is first. A backend is not called ill on the word of one door whose
-other attempts fail as well: that door may be cut off itself.
+goes by its own view where no registry answers. A place that was given counts until its door tells its end, over
+whichever connection, until the connection over which it was given ends, or until its time is over, whichever is
+first. A backend is not called ill on the word of one door whose other attempts fail as well: that door may be cut
+off itself.
 
 Why there is a registry in between: 85 doors each see a backend once in seconds and fill the queue of one that
 looked free a second ago (seen on 75 doors, no trouble in sight: a tenth of the arrivals turned away by full
@@ -20,6 +21,7 @@
 
 from irisdeal.isobar.answers import How
 from irisdeal.isobar.loads import key
+from irisdeal.telegraph.calls import name_of
 from irisdeal.wind.choice import Backend, Wind
 
 CROSSING = 0.6  # of a usual time, that another zone must be quicker by: its bytes are dear, its load is told late
@@ -32,6 +34,7 @@
 ILL_DOOR = 0.5  # share of failures over all backends, beyond which a door is not believed
 MOST_WAITING = 4000  # asks that wait for room at one registry; more are answered at once
 JITTER = 0.05  # of its cost, so that two registries that know the same do not choose alike
+FIRST_NUMBERS = 31  # bits: numbers of places begin anywhere there, so that an end told to a later life meets none
 FREE = 1.0  # requests for each slot up to which a backend has room
 
 
@@ -39,7 +42,7 @@
 class Place:
     """One request at one backend, until its door tells its end."""
 
-    door: str
+    door: str  # the connection over which it was given
     backend: Backend
     begun: float
     crowd: float
@@ -68,7 +71,7 @@
         self.doors: dict[str, set[int]] = {}
         self.failing: dict[str, float] = {}  # door -> its share of failures
         self.waiting: dict[str, Waiting] = {}
-        self.number = self.asked = 0
+        self.number, self.asked = chance.getrandbits(FIRST_NUMBERS), 0
 
     # Backends
 
@@ -164,17 +167,19 @@
 
     def ended(self, door: str, number: int, how: How, ratio: float, now: float) -> str | None:
         """The end of a place; the service at which there may be room now. `ratio`: s it took over the usual."""
-        place = self.places.pop(number, None)
-        if place is None or place.door != door:
+        place = self.places.get(number)
+        name = name_of(door)
+        if place is None or name_of(place.door) != name:
             return None
-        self.doors[door].discard(number)
+        del self.places[number]
+        self._freed(place.door, number)
         backend, wind = place.backend, self.wind
         wind.ended(backend, place.begun)
         bad = how in (How.FAILED, How.POOR)
         if how is not How.UNKNOWN:
-            share = self.failing.get(door, 0.0)
-            self.failing[door] = share + DOOR_WEIGHT * ((how is How.FAILED) - share)
-            if how in (How.GOOD, How.POOR, How.FAILED) and self.failing[door] < ILL_DOOR:
+            share = self.failing.get(name, 0.0)
+            self.failing[name] = share + DOOR_WEIGHT * ((how is How.FAILED) - share)
+            if how in (How.GOOD, How.POOR, How.FAILED) and self.failing[name] < ILL_DOOR:
                 backend.ill += ILL_WEIGHT * (bad - backend.ill)
         match how:
             case How.GOOD:
@@ -185,18 +190,24 @@
                 wind.full(backend, now, 0.1)
             case How.ENDED:
                 self.retire(backend.id)
-            case How.FAILED if self.failing[door] < ILL_DOOR:
+            case How.FAILED if self.failing[name] < ILL_DOOR:
                 wind.failed(backend, now)
         return backend.service
 
+    def _freed(self, door: str, number: int) -> None:
+        numbers = self.doors[door]
+        numbers.discard(number)
+        if not numbers:
+            del self.doors[door]
+
     def leave(self, door: str) -> set[str]:
-        """A door's connection ended: what it had is free. The services at which there may be room."""
+        """A door's connection ended: what was given over it is free. The services at which there may be room."""
         services = set()
         for number in self.doors.pop(door, set()):
             place = self.places.pop(number)
             self.wind.ended(place.backend, place.begun)
             services.add(place.backend.service)
-        self.failing.pop(door, None)
+        self.failing.pop(name_of(door), None)
         return services
 
     def look(self, now: float) -> set[str]:
@@ -204,7 +215,7 @@
         services = set()
         for number, place in [(n, p) for n, p in self.places.items() if p.until < now]:
             del self.places[number]
-            self.doors[place.door].discard(number)
+            self._freed(place.door, number)
             self.wind.ended(place.backend, place.begun)
             services.add(place.backend.service)
         return services
