--- a/irisdeal/vane/sources.py
+++ b/irisdeal/vane/sources.py
@@ -12,7 +12,7 @@
 from irisdeal.almanac.word import NOTHING, Stamp, Word
 from irisdeal.barometer.counter import Figures
 from irisdeal.gauge.registry import Life, State, hear_life, tell_life
-from irisdeal.isobar.answers import NONE, WAIT
+from irisdeal.isobar.answers import NONE, WAIT, How
 from irisdeal.mast import places
 from irisdeal.mast.events import invariant, tell
 from irisdeal.mast.process import Tasks
@@ -231,12 +231,18 @@
         """Tell a registry the end of a place that it gave."""
         self._count_link(ip).tell("ended", body)
 
+    def _late(self, ip: str, kind: str, told: Any) -> None:
+        """An answer that came after its time: a place that it gave is not used."""
+        if kind in ("place", "wait") and told[0] > 0:
+            self.place_ended(ip, [told[0], int(How.UNKNOWN), 0.0])
+
     def _by_nearness(self) -> list[str]:
         return sorted(self.answering, key=lambda ip: (not self._is_near(ip), hash_of(self.settings.ip, ip)))
 
     def _count_link(self, ip: str) -> Link:
         if ip not in self.links:
-            self.links[ip] = Link(places.at(self.settings, ip, places.GAUGE), f"vane {self.settings.ip}")
+            self.links[ip] = Link(places.at(self.settings, ip, places.GAUGE), f"vane {self.settings.ip}",
+                                  lambda kind, told: self._late(ip, kind, told))
         return self.links[ip]
 
 
--- /dev/null
+++ b/tests/test_calls.py
@@ -0,0 +1,527 @@
+"""Calls between processes: each answer to its caller, each call once, whatever comes between. Time is virtual."""
+
+from __future__ import annotations
+
+import ast
+import asyncio
+from collections.abc import Awaitable, Callable, Iterator
+from pathlib import Path
+from types import SimpleNamespace
+from typing import Any, cast
+
+import pytest
+from returns.result import Failure, Success
+
+from irisdeal.gauge.desk import Desk
+from irisdeal.gauge.registry import Life, Registry, State
+from irisdeal.isobar.answers import How
+from irisdeal.mast import events
+from irisdeal.mast.settings import Settings
+from irisdeal.sim.machine import Core, Costs, Machine
+from irisdeal.sim.net import Network, Way
+from irisdeal.sim.world import START, World
+from irisdeal.telegraph import calls as table
+from irisdeal.telegraph.frames import MOST_FRAME, BadFrame, Reader, encode
+from irisdeal.telegraph.link import LATER, ONE_WAY, Link, Server
+from irisdeal.vane.sources import Sources
+
+ROOT = Path(__file__).parent.parent
+HOST, PORT = "10.0.0.2", 7000
+PROGRAMS = ("almanac", "gauge", "vane")
+COMING = {"prepare", "accept", "bring", "decided"}  # in the table before the store sends them
+WAITING: Any = object()
+
+
+class Two:
+    """A caller and an answerer, each a machine; what the scenario returns is the result."""
+
+    def __init__(self) -> None:
+        self.world = World(3)
+        self.net = Network(self.world)
+        self.way = Way(700, 100)
+        self.net.pair("caller", HOST, self.way)
+        self.caller = Machine(self.world, self.net, "caller", Core(), Costs())
+        self.host = self.start_host()
+        self.late: list[tuple[str, Any]] = []
+
+    def start_host(self) -> Machine:
+        return Machine(self.world, self.net, HOST, Core(), Costs())
+
+    def link(self) -> Link:
+        return Link((HOST, PORT), "vane 10.0.0.1", lambda kind, body: self.late.append((kind, body)))
+
+    def serve(self, server: Callable[[], Server], host: Machine | None = None) -> None:
+        async def run() -> int:
+            await server().listen((HOST, PORT))
+            await asyncio.get_running_loop().create_future()
+            return 0
+
+        (host or self.host).start(run())
+
+    def answer_with(self, peer: Callable[[], asyncio.Protocol]) -> None:
+        """A peer that is none of ours."""
+        async def run() -> int:
+            loop = asyncio.get_running_loop()
+            await loop.create_server(peer, HOST, PORT)
+            await loop.create_future()
+            return 0
+
+        self.host.start(run())
+
+    def play(self, scenario: Awaitable[Any], seconds: float = 20.0) -> Any:
+        result = WAITING
+
+        async def run() -> int:
+            nonlocal result
+            await asyncio.sleep(0.1)
+            result = await scenario
+            return 0
+
+        self.caller.start(run())
+        self.world.run(lambda: result is not WAITING, START + int(seconds * 1e6))
+        assert not self.caller.errors and not self.host.errors
+        return result
+
+
+def answering(times: dict[str, float], ran: list[Any] | None = None) -> Callable[[], Server]:
+    """A server that answers each call with its body, after so many s for its kind."""
+    async def handle(peer: str, kind: str, body: Any) -> Any:
+        if ran is not None:
+            ran.append(body)
+        await asyncio.sleep(times.get(kind, 0.0))
+        return body
+
+    return lambda: Server(handle)
+
+
+def told(monkeypatch: pytest.MonkeyPatch) -> list[int]:
+    """The numbers of events that are told from now on."""
+    numbers: list[int] = []
+    for module in ("irisdeal.telegraph.link",):
+        monkeypatch.setattr(f"{module}.tell", lambda number, **fields: numbers.append(number))
+    assert events.CATALOGUE
+    return numbers
+
+
+def test_a_short_call_that_runs_out_of_time_takes_no_long_one_with_it() -> None:
+    two = Two()
+    two.serve(answering({"news": 1.0, "place": 0.2}))
+
+    async def scenario() -> Any:
+        link = two.link()
+        long = asyncio.ensure_future(link.call("news", "n", 1.5))
+        await asyncio.sleep(0.1)
+        short = await link.call("place", "p", 0.06)
+        return short, await long
+
+    short, long = two.play(scenario())
+    assert isinstance(short, Failure) and not short.failure().never_sent
+    assert long == Success("n")
+
+
+def test_a_late_answer_meets_nobody_but_who_hears_of_late_ones() -> None:
+    two = Two()
+    two.serve(answering({"place": 0.1}))
+
+    async def scenario() -> Any:
+        link = two.link()
+        first = await link.call("place", [1, "i-1", 1.0], 0.06)
+        await asyncio.sleep(0.06)
+        second = await link.call("place", [2, "i-2", 1.0], 0.5)
+        return first, second
+
+    first, second = two.play(scenario())
+    assert isinstance(first, Failure) and second == Success([2, "i-2", 1.0])
+    assert two.late == [("place", [1, "i-1", 1.0])]
+
+
+def test_an_answer_that_waited_while_its_caller_stood_still_is_late() -> None:
+    two = Two()
+    two.serve(answering({"lend": 0.02}))
+
+    async def scenario() -> Any:
+        link = two.link()
+        await link.call("all", None, 0.4)
+        lent = asyncio.ensure_future(link.call("lend", 7.0, 0.04))
+        await asyncio.sleep(0.01)
+        two.caller.pause(two.world.now + 4_000_000)
+        return await lent
+
+    assert isinstance(two.play(scenario()), Failure)
+    assert two.late == [("lend", 7.0)]
+
+
+def test_after_a_silence_the_next_call_goes_another_way_and_the_old_ones_keep_theirs() -> None:
+    two = Two()
+    two.serve(answering({"news": 2.0}))
+
+    async def scenario() -> Any:
+        link = two.link()
+        long = asyncio.ensure_future(link.call("news", "n", 5.0))
+        await asyncio.sleep(0.1)
+        two.host.pause(two.world.now + 1_000_000)
+        silent = await link.call("place", "p", 0.06)
+        old = link.calls
+        again = await link.call("place", "q", 2.0)
+        other = link.calls
+        return silent, again, old is other, await long, old
+
+    silent, again, same, long, old = two.play(scenario())
+    assert isinstance(silent, Failure) and again == Success("q") and not same
+    assert long == Success("n") and not old.open  # it ended with its last call
+
+
+def test_whoever_waits_for_a_connection_waits_no_longer_than_its_own_time() -> None:
+    two = Two()
+    two.way.cut = two.way.silent = True
+
+    async def scenario() -> Any:
+        link, begun = two.link(), two.caller.time()
+        answers = await asyncio.gather(*(link.call("place", "p", 0.06) for _ in range(10)))
+        return answers, two.caller.time() - begun
+
+    answers, took = two.play(scenario())
+    assert all(isinstance(answer, Failure) and answer.failure().never_sent for answer in answers)
+    assert took < 0.07
+
+
+def test_a_call_is_never_sent_again_by_its_link() -> None:
+    """The host dies with the call in its hands, a new life stands there at once: it runs nothing of the old."""
+    two = Two()
+    ran: list[Any] = []
+    two.serve(answering({"lend": 0.5}, ran))
+
+    async def scenario() -> Any:
+        link = two.link()
+        lent = asyncio.ensure_future(link.call("lend", 1, 2.0))
+        await asyncio.sleep(0.1)
+        two.host.kill()
+        two.host = two.start_host()
+        two.serve(answering({}, ran))
+        first = await lent
+        await asyncio.sleep(0.1)
+        return first, await link.call("lend", 2, 2.0)
+
+    first, second = two.play(scenario())
+    assert isinstance(first, Failure) and not first.failure().never_sent
+    assert second == Success(2) and ran == [1, 2]
+
+
+class Scripted(asyncio.Protocol):
+    """Answers each call with these items; `%` stands for the call's number."""
+
+    def __init__(self, script: list[list[Any]]) -> None:
+        self.script, self.reader = script, Reader()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+
+    def data_received(self, data: bytes) -> None:
+        for number, kind, _ in self.reader.feed(data):
+            if kind != "hello":
+                for item in self.script:
+                    self.transport.write(encode([number if part == "%" else part for part in item]))
+
+
+@pytest.mark.parametrize("script", [
+    [[77, True, "x"]],
+    [["%", True, "mine"], ["%", True, "twice"]],
+    [[True, True, "x"]],
+    [[1.0, True, "x"]],
+    [["%", 1, "x"]],
+    [["%", "false", "x"]],
+    [["%", True]],
+    [[-1, True, "x"]],
+    [[[], True, "x"]],
+], ids=["never asked", "twice", "a truth", "no whole number", "no truth", "a word", "short", "a word's", "a list"])
+def test_an_answer_to_what_was_not_asked_ends_the_connection(
+    script: list[list[Any]], monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    two, numbers = Two(), told(monkeypatch)
+    two.answer_with(lambda: Scripted(script))
+
+    async def scenario() -> Any:
+        link = two.link()
+        answer = await link.call("news", None, 0.5)
+        await asyncio.sleep(0.1)
+        assert link.calls is not None
+        return answer, link.calls.open
+
+    answer, is_open = two.play(scenario())
+    assert not is_open and set(numbers) <= {500, 510} and numbers
+    assert answer == Success("mine") if script[0][1:] == [True, "mine"] else isinstance(answer, Failure)
+
+
+def raw(two: Two, frames: list[bytes]) -> bytes:
+    """What comes back for these bytes, and a while later."""
+    heard = bytearray()
+
+    class Caller(asyncio.Protocol):
+        def data_received(self, data: bytes) -> None:
+            heard.extend(data)
+
+    async def scenario() -> Any:
+        transport, _ = await asyncio.get_running_loop().create_connection(Caller, HOST, PORT)
+        for frame in frames:
+            transport.write(frame)
+        await asyncio.sleep(0.5)
+        return transport.is_closing()
+
+    assert two.play(scenario()) in (True, False)
+    return bytes(heard)
+
+
+HELLO = encode([0, "hello", "vane x"])
+
+
+@pytest.mark.parametrize(("frames", "ran"), [
+    ([HELLO, encode([1, "lend", 1]), encode([1, "lend", 1])], [1]),
+    ([HELLO, encode([2, "lend", 2]), encode([1, "lend", 1])], [2]),
+    ([encode([1, "lend", 1])], []),
+    ([HELLO, encode([1, "lend", 1]), HELLO, encode([2, "lend", 2])], [1]),
+    ([HELLO, encode([ONE_WAY, "lend", 1]), encode([1, "lend", 2])], [2]),
+    ([HELLO, encode([True, "lend", 1])], []),
+    ([HELLO, encode([1.0, "lend", 1])], []),
+    ([HELLO, encode([1, "no such", 1]), encode([2, "lend", 2])], [2]),
+    ([HELLO, encode([1, "lend", 1]) + b"\x00\x00\x00\x02\x01\x01" + encode([2, "lend", 2])], [1]),
+], ids=["twice", "an older one", "no name", "two names", "as a word", "a truth", "no whole number", "no such call",
+        "two items in a frame"])
+def test_a_call_runs_once_and_only_in_its_order(
+    frames: list[bytes], ran: list[int], monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    two = Two()
+    seen: list[Any] = []
+    told(monkeypatch)
+    two.serve(answering({}, seen))
+    raw(two, frames)
+    assert seen == ran
+
+
+def test_frames_torn_anywhere_are_whole_and_bad_ones_end_the_connection() -> None:
+    whole = encode([1, True, "x"]) + encode([2, False, "y"])
+    for at in range(len(whole)):
+        reader = Reader()
+        assert [*reader.feed(whole[:at]), *reader.feed(whole[at:])] == [[1, True, "x"], [2, False, "y"]]
+    for bad in (b"\x00\x00\x00\x00", b"\xff\xff\xff\xff", b"\x00\x00\x00\x01\x83", b"\x00\x00\x00\x02\x01\x01"):
+        with pytest.raises(BadFrame):
+            list(Reader().feed(bad))
+
+
+def test_a_call_that_is_answered_with_an_error_takes_no_other_with_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    two = Two()
+    told(monkeypatch)
+
+    def quick(peer: str, kind: str, body: Any) -> Any:
+        return body["no such"] if kind == "place" else LATER
+
+    async def handle(peer: str, kind: str, body: Any) -> Any:
+        await asyncio.sleep(0.1)
+        if kind == "all":
+            return bytes(MOST_FRAME)
+        return body
+
+    two.serve(lambda: Server(handle, quick))
+
+    async def scenario() -> Any:
+        link = two.link()
+        return await asyncio.gather(link.call("count", 1, 0.5), link.call("place", {}, 0.5),
+                                    link.call("all", None, 0.5), link.call("told", bytes(MOST_FRAME), 0.5))
+
+    count, place, long, sent = two.play(scenario())
+    assert count == Success(1)
+    for failed in (place, long, sent):
+        assert isinstance(failed, Failure) and "silent" not in failed.failure().detail
+    assert sent.failure().never_sent and not long.failure().never_sent
+
+
+def test_what_is_given_behind_a_connections_end_is_told_as_lost_again() -> None:
+    two = Two()
+    lost: list[str] = []
+
+    async def handle(peer: str, kind: str, body: Any) -> Any:
+        await asyncio.sleep(0.3)
+        return peer
+
+    two.serve(lambda: Server(handle, None, lost.append))
+
+    async def scenario() -> Any:
+        link = two.link()
+        asked = asyncio.ensure_future(link.call("wait", 1, 1.0))
+        await asyncio.sleep(0.1)
+        link.close()
+        await asyncio.sleep(0.5)
+        return await asked
+
+    assert isinstance(two.play(scenario()), Failure)
+    assert lost == ["vane 10.0.0.1#1", "vane 10.0.0.1#1"]
+
+
+def test_a_word_over_no_connection_or_a_hung_one_is_said_to_be_lost() -> None:
+    two = Two()
+    two.serve(answering({}))
+
+    async def scenario() -> Any:
+        link = two.link()
+        none = link.tell("sums", [])
+        await link.call("sums", [], 0.4)
+        good = link.tell("sums", [])
+        two.host.pause(two.world.now + 1_000_000)
+        await link.call("sums", [], 0.1)
+        return none, good, link.tell("sums", [])
+
+    assert two.play(scenario()) == (False, True, False)
+
+
+# The table
+
+
+def _kinds_sent() -> Iterator[tuple[str, str, bool]]:
+    """File, kind and whether as a word, of all that the programs send."""
+    for program in (*PROGRAMS, "squall"):
+        for path in sorted((ROOT / "irisdeal" / program).glob("*.py")):
+            for node in ast.walk(ast.parse(path.read_text("utf-8"))):
+                if (isinstance(node, ast.Call) and isinstance(node.func, ast.Attribute)
+                        and node.func.attr in ("call", "tell", "_tell") and node.args
+                        and isinstance(node.args[0], ast.Constant) and isinstance(node.args[0].value, str)):
+                    yield path.name, node.args[0].value, node.func.attr != "call"
+
+
+def _kinds_served() -> set[Any]:
+    served = set()
+    for program in PROGRAMS:
+        for path in sorted((ROOT / "irisdeal" / program).glob("*.py")):
+            for node in ast.walk(ast.parse(path.read_text("utf-8"))):
+                if isinstance(node, ast.Match) and isinstance(node.subject, ast.Name) and node.subject.id == "kind":
+                    served |= {value.value for case in node.cases for value in ast.walk(case.pattern)
+                               if isinstance(value, ast.Constant)}
+                elif (isinstance(node, ast.Compare) and isinstance(node.left, ast.Name) and node.left.id == "kind"
+                        and isinstance(node.comparators[0], ast.Constant)):
+                    served.add(node.comparators[0].value)
+    return served
+
+
+def test_each_kind_that_is_sent_or_served_is_in_the_table_and_none_is_there_for_nothing() -> None:
+    sent = list(_kinds_sent())
+    assert len(sent) >= 15
+    for file, kind, is_word in sent:
+        assert table.may_send(kind, is_word) is None, (file, kind)
+    assert set(table.CALLS) >= _kinds_served()
+    assert set(table.CALLS) - _kinds_served() <= COMING
+
+
+def test_what_is_not_in_the_table_cannot_be_sent() -> None:
+    two = Two()
+
+    async def scenario() -> Any:
+        with pytest.raises(KeyError):
+            await two.link().call("borrow", None, 0.1)
+        with pytest.raises(KeyError):
+            two.link().tell("lend", None)
+        return True
+
+    assert two.play(scenario())
+
+
+def test_the_page_has_the_table_of_the_code() -> None:
+    assert table.page() in (ROOT / "docs" / "design" / "control.md").read_text("utf-8")
+
+
+def test_what_may_be_taken_twice_is_named_and_what_may_not_is_sent_once() -> None:
+    for call in table.CALLS.values():
+        assert call.reset and call.silence
+        assert call.again is not table.Again.ASKER or call.named != "-"
+        assert not (call.word and call.again is table.Again.NEVER)
+    never = {kind for kind, call in table.CALLS.items() if call.again is table.Again.NEVER}
+    assert never == {"place", "wait", "lend"}
+
+
+
+
+# Places: whose they are, whatever becomes of connections
+
+
+class Reception:
+    """One registry's desk, with one backend of 8 slots."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        loop: Any = SimpleNamespace(time=lambda: self.now)
+        settings = Settings(node_name="g", role="gauge", ip="g", zone="z", port_range=(1, 9), seed_peers=())
+        self.desk = Desk(settings, Registry(1.5), loop, lambda *_: asyncio.sleep(0, 0.0), lambda: 1)
+        self.desk.registry.hear(Life("i", "s", "10.9.0.1:80", "z", 8, State.READY, 1, 0.0), 0.0)
+
+    def place(self, peer: str) -> int:
+        number, id_, _ = self.desk.quick(peer, "place", ["z", "s", 0.1, [], 0, 0.0, 1.0, "", False, False, []])
+        assert id_ == "i"
+        return cast(int, number)
+
+    def end(self, peer: str, number: int) -> None:
+        self.desk.quick(peer, "ended", [number, int(How.GOOD), 1.0])
+
+    def out(self) -> int:
+        return self.desk.placer.backends["i"].out
+
+
+def test_the_end_of_one_connection_frees_what_was_given_over_it_alone() -> None:
+    there = Reception()
+    there.place("vane d#1")
+    there.place("vane d#3")
+    there.desk.count("vane d#3", 1.0, 0, {"t": [5.0, 0.0, 0.0, 0.0, 0.0, 0.0]})
+    there.desk.lost("vane d#2")  # it heard news there
+    assert there.out() == 2 and there.desk.counter.words
+    there.desk.lost("vane d#1")  # its former one, noticed late
+    assert there.out() == 1 and there.desk.counter.words
+    there.desk.lost("vane d#3")
+    assert there.out() == 0 and not there.desk.counter.words and not there.desk.placer.doors
+
+
+def test_an_end_told_twice_or_over_another_connection_frees_one_place_and_one_door_frees_no_others() -> None:
+    there = Reception()
+    number, other = there.place("vane d#1"), there.place("vane e#2")
+    there.end("vane e#2", number)
+    assert there.out() == 2
+    there.end("vane d#3", number)
+    there.end("vane d#3", number)
+    there.end("vane d#1", number)
+    assert there.out() == 1
+    there.desk.lost("vane d#1")
+    assert there.out() == 1 and set(there.desk.placer.places) == {other}
+
+
+def test_an_end_told_to_a_later_life_of_the_registry_meets_no_place() -> None:
+    for _ in range(20):
+        before, after = Reception(), Reception()
+        numbers = [before.place("vane d#1") for _ in range(8)]
+        for _ in range(8):
+            after.place("vane d#1")
+        for number in numbers:
+            after.end("vane d#1", number)
+        assert after.out() == 8
+
+
+def test_a_place_in_a_late_answer_is_told_as_ended() -> None:
+    two = Two()
+    ended: list[Any] = []
+
+    def quick(peer: str, kind: str, body: Any) -> Any:
+        return ended.append(body) if kind == "ended" else LATER
+
+    async def handle(peer: str, kind: str, body: Any) -> Any:
+        await asyncio.sleep(0.09)
+        return [7, "i", 1.0]
+
+    two.serve(lambda: Server(handle, quick))
+
+    async def scenario() -> Any:
+        settings = Settings(node_name="d", role="vane", ip="10.0.0.1", zone="z", port_range=(6998, 7010),
+                            seed_peers=(f"{HOST}:1",))
+        sources = Sources(settings, lambda word: None, lambda life, silent: None)
+        sources.has_heard.set()
+        sources.answering.add(HOST)
+        sources.links[HOST] = Link((HOST, PORT), "vane 10.0.0.1", sources._count_link(HOST).on_late)
+        told = await sources.place(["z"], 0.0, 0.0)
+        await asyncio.sleep(0.2)
+        return told, sources.deaf
+
+    told_, deaf = two.play(scenario())
+    assert told_ is None and HOST in deaf and ended == [[7, int(How.UNKNOWN), 0.0]]
