--- /dev/null
+++ b/tests/test_history.py
@@ -0,0 +1,87 @@
+"""The judge of histories against the general search, which tries every order (Wing and Gong 1993)."""
+
+from __future__ import annotations
+
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
+
+from irisdeal.squall.history import EVER, NONE, Kind, Op, check
+
+
+def any_order(ops: tuple[Op, ...], number: int = NONE, body: str = "") -> bool:
+    """Whether some order of these, each acting within its times, gives these outcomes."""
+    if all(op.kind is Kind.UNCLEAR for op in ops):
+        return True
+    soonest = min(op.end for op in ops if op.kind is not Kind.UNCLEAR)
+    for op in ops:
+        if op.start > soonest:
+            continue  # another one had ended before it began
+        rest = tuple(other for other in ops if other is not op)
+        match op.kind:
+            case Kind.READ if (op.number, op.body) != (number, body):
+                continue
+            case Kind.CONFLICT if op.number != number or op.body == body:
+                continue
+            case Kind.CONFIRMED if op.number == number and op.body != body:
+                continue
+        puts = op.kind in (Kind.CONFIRMED, Kind.UNCLEAR) and op.number > number
+        if any_order(rest, *((op.number, op.body) if puts else (number, body))):
+            return True
+        if op.kind is Kind.UNCLEAR and any_order(rest, number, body):
+            return True
+    return False
+
+
+@st.composite
+def histories(draw: st.DrawFn) -> list[Op]:
+    """A few calls on few numbers, bodies and moments, so that many of them meet."""
+    ops = []
+    for _ in range(draw(st.integers(1, 7))):
+        kind = draw(st.sampled_from([*Kind, Kind.CONFIRMED, Kind.READ]))
+        start, length = draw(st.integers(0, 9)), draw(st.integers(0, 5))
+        number = draw(st.integers(NONE if kind is Kind.READ else 0, 3))
+        body = draw(st.sampled_from("xy")) if number != NONE else ""
+        seen = kind is Kind.READ and draw(st.integers(0, 3)) == 0
+        ops.append(Op(kind, number, body, -EVER if seen else start, start + length))
+    return ops
+
+
+def put(kind: Kind, number: int, body: str, start: float, end: float) -> Op:
+    return Op(kind, number, body, start, end)
+
+
+@settings(max_examples=3_000, deadline=None, derandomize=True)
+@given(histories())
+@example([put(Kind.CONFIRMED, 1, "x", 0, 1), put(Kind.CONFIRMED, 1, "y", 0, 1)])
+@example([put(Kind.CONFIRMED, 1, "x", 0, 1), put(Kind.CONFIRMED, 1, "y", 0, 3), put(Kind.UNCLEAR, 2, "x", 2, 3)])
+@example([put(Kind.CONFLICT, 1, "x", 0, 1), put(Kind.CONFIRMED, 1, "y", 0, 1), put(Kind.CONFIRMED, 1, "x", 2, 3)])
+def test_the_judge_says_what_the_general_search_says(ops: list[Op]) -> None:
+    assert (check(ops) == []) == any_order(tuple(ops)), (check(ops), ops)
+
+
+def test_a_long_history_that_can_be_ordered_is_passed_and_one_stale_read_in_it_is_named() -> None:
+    ops = []
+    for number in range(2_000):
+        ops.append(put(Kind.CONFIRMED, number, "x", number, number + 0.5))
+        ops.append(put(Kind.UNCLEAR, number, "y", number + 0.7, number + 0.8))
+        ops.append(Op(Kind.READ, number, "x", number + 0.6, number + 0.7))
+    assert check(ops) == []
+    stale = Op(Kind.READ, 700, "x", 1_500.1, 1_500.2, "the stale one")
+    assert "the stale one" in check([*ops, stale])[0]
+
+
+def test_a_confirmed_body_that_another_replaced_is_a_breach() -> None:
+    ops = [put(Kind.CONFIRMED, 5, "x", 0, 1), put(Kind.UNCLEAR, 5, "y", 2, 3), Op(Kind.READ, 5, "y", 4, 5)]
+    assert check(ops) and not check(ops[1:])
+
+
+def test_what_a_watcher_saw_may_be_old_but_never_undecided() -> None:
+    old = [put(Kind.CONFIRMED, 5, "x", 0, 1), put(Kind.CONFIRMED, 6, "x", 2, 3), Op(Kind.READ, 5, "x", -EVER, 9)]
+    assert not check(old)
+    undecided = [put(Kind.UNCLEAR, 5, "x", 0, 1), Op(Kind.READ, 5, "x", -EVER, 2), Op(Kind.READ, NONE, "", 3, 4)]
+    assert check(undecided)
+
+
+def test_an_order_that_was_confirmed_and_is_then_refused_is_a_breach() -> None:
+    ops = [put(Kind.CONFIRMED, 5, "x", 0, 1), put(Kind.CONFLICT, 5, "x", 2, 3)]
+    assert check(ops)
