--- a/irisdeal/squall/core.py
+++ b/irisdeal/squall/core.py
@@ -16,7 +16,7 @@
 from irisdeal.sim.machine import Machine
 from irisdeal.sim.world import Stuck
 from irisdeal.squall.faults import Director
-from irisdeal.squall.history import check
+from irisdeal.squall.history import Kind, check
 from irisdeal.squall.operators import Callers, Record
 from irisdeal.squall.stage import MAKE, Stage, pause
 
@@ -40,6 +40,7 @@
     acknowledged: int = 0
     sends: int = 0
     reads: int = 0
+    refused: int = 0  # orders refused for good that were acknowledged before or after
     lists: int = 0  # the number of the newest list of members that a watcher saw
     caught_up: float = 0.0  # s after the last return until every member had answered
     outages: list[float] = field(default_factory=list)  # s that orders took that met a loss
@@ -119,7 +120,9 @@
                 self.breach(f"stuck: {error}"[:400])
         verdict, record = self.verdict, self.callers.record
         verdict.orders, verdict.acknowledged, verdict.sends = record.orders, record.acknowledged, record.sends
-        verdict.reads = sum(op.kind.value == "read" for op in record.ops)
+        verdict.reads = sum(op.kind is Kind.READ for op in record.ops)
+        confirmed = {(op.number, op.body) for op in record.ops if op.kind is Kind.CONFIRMED}
+        verdict.refused = sum(op.kind is Kind.CONFLICT and (op.number, op.body) in confirmed for op in record.ops)
         verdict.lists = max((seen.members for seen in record.seen), default=0)
         verdict.faults = self.director.log.lines
         verdict.outages = [took for begun, took in record.times
@@ -173,3 +176,8 @@
     finally:
         log.removeHandler(ear)
         log.propagate = usual
+
+
+def day_of(seed: int, make: MAKE = Member) -> CoreDay:
+    """The day of a seed: 3, 4 or 5 members, two or eight operators, in one of twenty hundreds of changes."""
+    return CoreDay(3 + seed % 3, seed, make, operators=8 if seed % 4 == 0 else 2, burst=seed % 20 == 7)
--- a/irisdeal/squall/operators.py
+++ b/irisdeal/squall/operators.py
@@ -55,7 +55,6 @@
     orders: int = 0
     sends: int = 0
     acknowledged: int = 0
-    refused: int = 0  # for good, though no other body was ever shown under the number: see `Callers.order`
     times: list[tuple[float, float]] = field(default_factory=list)  # of each order: its begin, s until its ack
     answers: list[tuple[float, str]] = field(default_factory=list)  # acknowledgements: s, who gave it
 
--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,204 @@
+"""Five processes of the store over loopback sockets, with our fault proxy between them; the judge has the history.
+
+SIGSTOP, SIGKILL, a disk that is lost, cuts both ways and one way, one after the other, while two operators put
+bodies under the same numbers. Everything is bounded; processes are ended by their ids.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import hashlib
+import itertools
+import os
+import random
+import shutil
+import signal
+import subprocess
+import sys
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from returns.result import Success
+
+from irisdeal.almanac.word import Word
+from irisdeal.squall.history import NONE, Kind, Op, check
+from irisdeal.telegraph.link import Link
+from tests.fault_proxy import Gate
+
+ROOT = Path(__file__).parent.parent
+COUNT = 5
+FIRST_PORT, APART = 17_400, 20  # each member's own range
+NET = "127.7.0"
+STOPPED = 4.0  # s
+BETWEEN = 1.6  # s between two faults
+SYNC = 1  # s: what the settings say, so that a day of faults fits into half a minute
+UP_BY, READ_BY = 8.0, 6.0  # s
+
+
+@dataclass
+class Store:
+    """The processes and the gates between them."""
+
+    folder: Path
+    running: dict[int, subprocess.Popen[bytes]] = field(default_factory=dict)
+    gates: dict[tuple[int, int], Gate] = field(default_factory=dict)
+
+    @staticmethod
+    def address(member: int) -> tuple[str, int]:
+        return f"{NET}.{member + 1}", FIRST_PORT + APART * member
+
+    async def open_gates(self) -> None:
+        for caller, called in itertools.permutations(range(COUNT), 2):
+            host, port = self.address(called)
+            self.gates[caller, called] = gate = Gate((host, self.address(caller)[1]), (host, port))
+            await gate.open()
+
+    def start(self, member: int, first: bool = False) -> None:
+        host, port = self.address(member)
+        seeds = ", ".join(f'"{self.address(seed)[0]}:9000"' for seed in range(3))
+        settings = self.folder / f"{member}.toml"
+        settings.write_text(f"""
+node_name = "m{member}"
+role = "almanac"
+ip = "{host}"
+zone = "z{member}"
+port_range = [{port}, {port + APART - 1}]
+seed_peers = [{seeds}]
+bootstrap = {str(first).lower()}
+counted = true
+config_source = "compared"
+data_path = "{self.folder / f'disk{member}'}"
+bounds = ["contact_ms=3000", "sync_s={SYNC}", "grace_s=6"]
+[tolerance]
+machines = 1
+""")
+        with (self.folder / f"{member}.log").open("ab") as log:
+            self.running[member] = subprocess.Popen(
+                [sys.executable, "-m", "irisdeal.almanac"], cwd=ROOT, stdout=log, stderr=log,
+                env={**os.environ, "IRISDEAL_SETTINGS": str(settings)})
+
+    def kill(self, member: int, wipe: bool = False) -> None:
+        self.running[member].kill()
+        self.running[member].wait(5)
+        if wipe:
+            shutil.rmtree(self.folder / f"disk{member}", ignore_errors=True)
+
+    def cut(self, member: int, out: bool, into: bool) -> None:
+        for (caller, called), gate in self.gates.items():
+            if caller == member:
+                gate.shut(out, into)
+            elif called == member:
+                gate.shut(into, out)
+
+    async def end(self) -> None:
+        for process in self.running.values():
+            with contextlib.suppress(ProcessLookupError):
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+            process.wait(5)
+        for gate in self.gates.values():
+            await gate.close()
+
+
+@dataclass
+class Operators:
+    """Two that put under the same numbers; what they saw."""
+
+    chance: random.Random
+    ops: list[Op] = field(default_factory=list)
+    number: int = 0
+    over: bool = False
+
+    async def put(self, member: int, word: Word, who: str) -> Kind:
+        link, begun = Link(Store.address(member), who), time.monotonic()
+        answer = await link.call("put", [word.stamp.number, word.stamp.digest, word.body], 1.0)
+        link.close()
+        told = int(answer.unwrap()) if isinstance(answer, Success) else 0
+        kind = (Kind.UNCLEAR, Kind.CONFIRMED, Kind.CONFLICT)[told]
+        self.ops.append(Op(kind, word.stamp.number, word.stamp.digest.hex(), begun, time.monotonic(),
+                           f"{who} at {member}"))
+        return kind
+
+    async def read(self, member: int, who: str) -> bool:
+        link, begun = Link(Store.address(member), who), time.monotonic()
+        answer = await link.call("read", None, 1.0)
+        link.close()
+        if not isinstance(answer, Success) or not answer.unwrap()[0]:
+            return False
+        body = answer.unwrap()[1]
+        number, digest = (int(body.split()[0][1:]), hashlib.sha256(body).hexdigest()) if body else (NONE, "")
+        self.ops.append(Op(Kind.READ, number, digest, begun, time.monotonic(), f"{who} at {member}"))
+        return True
+
+    async def operate(self, who: str) -> None:
+        while not self.over:
+            if self.chance.random() < 0.6:
+                self.number += 1
+            body = b"r%d %s %d" % (self.number, who.encode(), self.chance.getrandbits(60))
+            word = Word.of(f"r{self.number}", body)
+            for _ in range(8):
+                if await self.put(self.chance.randrange(COUNT), word, who) is not Kind.UNCLEAR:
+                    break
+            await self.read(self.chance.randrange(COUNT), who)
+            await asyncio.sleep(self.chance.uniform(0.0, 0.1))
+
+    async def read_all(self, within: float) -> list[int]:
+        """The members that answered no read in time."""
+        waiting, until = list(range(COUNT)), time.monotonic() + within
+        while waiting and time.monotonic() < until:
+            waiting = [member for member in waiting if not await self.read(member, "end")]
+            await asyncio.sleep(0.05)
+        return waiting
+
+
+async def _faults(store: Store) -> None:
+    """One member lost at a time."""
+    store.running[0].send_signal(signal.SIGSTOP)
+    await asyncio.sleep(STOPPED)
+    store.running[0].send_signal(signal.SIGCONT)
+    await asyncio.sleep(BETWEEN)
+    store.kill(1)
+    await asyncio.sleep(0.3)
+    store.start(1)
+    await asyncio.sleep(BETWEEN)
+    store.kill(2, wipe=True)
+    await asyncio.sleep(0.3)
+    store.start(2)
+    await asyncio.sleep(BETWEEN + SYNC)
+    for out, into in ((True, False), (False, True), (True, True)):
+        store.cut(3, out, into)
+        await asyncio.sleep(2.0)
+        store.cut(3, False, False)
+        await asyncio.sleep(BETWEEN)
+    for member in range(COUNT):
+        store.kill(member)
+    for member in range(COUNT):
+        store.start(member)
+
+
+async def _day(store: Store) -> tuple[list[Op], list[int]]:
+    operators = Operators(random.Random(7))
+    await store.open_gates()
+    for member in range(COUNT):
+        store.start(member, first=True)
+    try:
+        assert await operators.read_all(UP_BY) == [], "not up"
+        working = [asyncio.ensure_future(operators.operate(f"operator-{number}")) for number in range(2)]
+        await asyncio.sleep(0.5)
+        await _faults(store)
+        await asyncio.sleep(1.0)
+        operators.over = True
+        await asyncio.gather(*working)
+        return operators.ops, await operators.read_all(READ_BY)
+    finally:
+        await store.end()
+
+
+def test_five_processes_of_the_store_under_stops_kills_cuts_and_a_lost_disk(tmp_path: Path) -> None:
+    ops, silent = asyncio.run(_day(Store(tmp_path)))
+    assert silent == [], f"members that answer no read at the end: {silent}"
+    assert check(ops) == []
+    confirmed = sum(op.kind is Kind.CONFIRMED for op in ops)
+    assert confirmed > 100, f"{confirmed} confirmed of {sum(op.kind is not Kind.READ for op in ops)} puts"
