--- a/irisdeal/almanac/member.py
+++ b/irisdeal/almanac/member.py
@@ -170,6 +170,8 @@
         heard = [report for report in await asyncio.gather(*map(self._ask, self._others())) if report]
         own = self.report()
         self.heard.heard(own, now())
+        for number, seat in self.heard.news(self.acceptor.decided, self.acceptor.seat, now()):
+            tell(number, seat=seat)
         shown = decided_among([own, *heard])
         if shown is not None:
             self.learn(shown, [report.ip for report in heard if report.value == shown])
@@ -225,7 +227,8 @@
     async def handle(self, peer: str, kind: str, body: Any) -> Any:
         match kind:
             case "state":
-                self._heard(body)
+                if body is not None:  # else it is asked by somebody who is no part of the core
+                    self._heard(body)
                 return self.report().tell()
             case "prepare" | "accept" if body[0] != self.acceptor.seat:
                 return None  # it is for the disk that was here before
