irisdeal almanac: status, members, history, verify, export and adopt

An operator could not see who counts nor what a disk holds, and had no way on once a majority of the disks was lost. status and members ask running stores; history, verify and export read a folder; adopt begins a new list from one disk, and is refused while a quorum can be had, while another holds something newer, and until each silent machine is named.

--- /dev/null
+++ b/irisdeal/almanac/inspect.py
@@ -0,0 +1,74 @@
+"""What lies in a store's folder, read without changing it. Calls here block; OSError where the disk refuses."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from irisdeal.almanac import files, keeper
+from irisdeal.almanac.folder import Folder
+from irisdeal.almanac.keeper import State
+from irisdeal.almanac.register import Value
+from irisdeal.almanac.word import NOTHING, Stamp, Word
+from irisdeal.mast.trouble import Trouble
+
+@dataclass
+class Disk:
+    """What was found. `state` is None where the disk has no identity yet or `kept` is damaged."""
+
+    state: State | None = None
+    words: dict[str, Word] = field(default_factory=dict)  # file -> body
+    troubles: list[Trouble] = field(default_factory=list)
+
+    def body(self, stamp: Stamp) -> Word | None:
+        return next((word for word in self.words.values() if word.stamp == stamp), None)
+
+    @property
+    def values(self) -> list[Value]:
+        """The newest that it knew to be decided, and what it accepted."""
+        return [self.state.decided, self.state.kept.value] if self.state is not None else []
+
+    def holds(self, value: Value) -> bool:
+        return value.stamp == NOTHING or self.body(value.stamp) is not None
+
+    def standing(self, stamp: Stamp) -> str:
+        """`decided`, `accepted` (perhaps not decided) or `kept` (an older one, or one that was never decided)."""
+        if self.state is not None and stamp == self.state.decided.stamp:
+            return "decided"
+        return "accepted" if self.state is not None and stamp == self.state.kept.value.stamp else "kept"
+
+
+def look(folder: Folder) -> Disk:
+    """All that is there."""
+    disk = Disk()
+    for name in folder.names():
+        try:
+            if name == keeper.NAME:
+                disk.state = keeper.decode(folder.read(name))
+            elif name.endswith(".word"):
+                disk.words[name] = files.decode(folder.read(name))
+        except ValueError as error:
+            disk.troubles.append(Trouble("read", name, str(error)))
+    return disk
+
+
+def verify(disk: Disk) -> list[Trouble]:
+    """What is wrong: damage, and the body of an accepted value that is not there."""
+    if disk.state is None:
+        named = any(trouble.peer == keeper.NAME for trouble in disk.troubles)
+        return disk.troubles if named else [
+            *disk.troubles, Trouble("read", keeper.NAME, "missing: this disk has no identity yet")]
+    value = disk.state.kept.value
+    if not disk.holds(value):
+        return [*disk.troubles, Trouble("check", f"r{value.stamp.number}", "accepted, but its body is not here")]
+    return disk.troubles
+
+
+def newest(disk: Disk) -> Word | None:
+    """The body to be exported: that of the newest decided value, else of the one accepted, that is here."""
+    return next((word for value in disk.values if (word := disk.body(value.stamp)) is not None), None)
+
+
+def named(disk: Disk, generation: str) -> Word | None:
+    """The body of `r12`; where two have this number, the one that was decided or accepted."""
+    found = [word for word in disk.words.values() if f"r{word.stamp.number}" == generation]
+    return min(found, key=lambda word: (disk.standing(word.stamp) == "kept", word.stamp.digest), default=None)
--- a/irisdeal/cli/main.py
+++ b/irisdeal/cli/main.py
@@ -15,6 +15,7 @@
 from rich.progress import BarColumn, Progress, TextColumn, TimeElapsedColumn
 
 from irisdeal import __version__
+from irisdeal.cli.almanac import almanac
 from irisdeal.cli.chaos import chaos
 from irisdeal.cli.queues import queues
 from irisdeal.cli.routes import routes
@@ -43,6 +44,7 @@
     """Front doors that keep each store to its quota before a shared fleet, and the tools round them."""
 
 
+main.add_command(almanac)
 main.add_command(chaos)
 main.add_command(queues)
 main.add_command(routes)
--- /dev/null
+++ b/tests/test_almanac_tool.py
@@ -0,0 +1,328 @@
+"""`irisdeal almanac`: folders read and verified, stores asked, a new first list that is hard to begin wrongly."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any
+
+import pytest
+from click.testing import CliRunner, Result
+
+from irisdeal.almanac import adoption, survey
+from irisdeal.almanac.files import Files
+from irisdeal.almanac.folder import DiskFolder, Folder
+from irisdeal.almanac.inspect import look, named, newest, verify
+from irisdeal.almanac.keeper import NAME, Keeper, State
+from irisdeal.almanac.members import Members, ip_of, seat
+from irisdeal.almanac.register import (
+    NO_BALLOT,
+    UNKNOWN,
+    Ballot,
+    Change,
+    Kept,
+    Round,
+    Step,
+    Value,
+    on_accept,
+    on_prepare,
+    put,
+    same,
+    set_members,
+)
+from irisdeal.almanac.report import Report
+from irisdeal.almanac.survey import Survey, survey as ask_all
+from irisdeal.almanac.word import Word
+from irisdeal.cli.main import main
+from irisdeal.mast.settings import Address
+from irisdeal.squall.disk import MemoryDisk
+from irisdeal.telegraph.link import Server
+
+PORT = 7340
+IPS = ("10.0.0.1", "10.0.0.2", "10.0.0.3")
+LIST = Members.first(IPS)
+
+
+def word(number: int) -> Word:
+    return Word.of(f"r{number}", b'{"generation": "r%d"}' % number)
+
+
+def value(change: int, number: int, members: Members = LIST) -> Value:
+    return Value(change, word(number).stamp, members)
+
+
+def filled(folder: Folder, accepted: Value, decided: Value, bodies: Iterable[int]) -> Folder:
+    """As a store leaves it."""
+    ballot = Ballot(accepted.change, seat(IPS[0], "first"))
+    files = Files(folder)
+    for number in bodies:
+        files.keep(word(number))
+    Keeper(folder).write(State("first", Kept(ballot, ballot, accepted), decided))
+    return folder
+
+
+def report(
+    ip: str, decided: Value, disk: str = "first", accepted: Value | None = None, holds: bool = True,
+) -> Report:
+    return Report(seat(ip, disk), "z", NO_BALLOT, accepted or decided, decided, holds)
+
+
+def surveyed(*reports: Report, silent: Iterable[str] = ()) -> Survey:
+    return Survey({(told.ip, PORT): told for told in reports}, {(ip, PORT): "silent" for ip in silent})
+
+
+# Folders
+
+
+def test_a_whole_folder_verifies_and_says_how_each_version_stands() -> None:
+    disk = look(filled(MemoryDisk(), value(3, 3), value(2, 2), (1, 2, 3)))
+    assert not verify(disk)
+    assert [disk.standing(word(number).stamp) for number in (1, 2, 3)] == ["kept", "decided", "accepted"]
+    assert newest(disk) == word(2) and named(disk, "r3") == word(3) and named(disk, "r4") is None
+
+
+def test_of_two_bodies_under_one_number_the_accepted_one_is_exported() -> None:
+    folder = filled(MemoryDisk(), value(1, 1), value(1, 1), (1,))
+    other = Word.of("r1", b'{"generation": "r1", "limits": {}}')
+    Files(folder).keep(other)
+    disk = look(folder)
+    assert len(disk.words) == 2 and named(disk, "r1") == word(1)
+
+
+@pytest.mark.parametrize("harm", ["torn-body", "torn-kept", "no-body", "no-kept"])
+def test_what_is_wrong_in_a_folder_is_named(harm: str) -> None:
+    folder = filled(MemoryDisk(), value(2, 2), value(2, 2), (1, 2) if harm != "no-body" else (1,))
+    names = {"torn-kept": NAME, "no-kept": NAME}
+    name = names.get(harm, next(name for name in folder.names() if name.startswith("r")))
+    if harm == "no-kept":
+        folder.remove(name)
+    elif harm != "no-body":
+        folder.write(name, folder.read(name)[:-3])
+    found = verify(look(folder))
+    assert len(found) == 1 and found[0].peer == ("r2" if harm == "no-body" else name)
+
+
+# Stores that run
+
+
+def test_a_survey_finds_the_others_by_one_and_says_what_may_be_lost() -> None:
+    ips, decided = [f"127.0.9.{number}" for number in (1, 2, 3, 4)], value(4, 4, Members.first(
+        [f"127.0.9.{number}" for number in (1, 2, 3)]))
+    with socket.socket() as free:
+        free.bind((ips[0], 0))
+        port = free.getsockname()[1]
+
+    async def go() -> Survey:
+        servers = []
+        for ip in (ips[0], ips[2], ips[3]):
+            async def answers(peer: str, kind: str, body: Any, ip: str = ip) -> Any:
+                assert (kind, body) == ("state", None)
+                return report(ip, decided).tell()
+
+            servers.append(Server(answers))
+            await servers[-1].listen((ip, port))
+        try:
+            return await ask_all([(ips[0], port), (ips[3], port)])
+        finally:
+            for server in servers:
+                server.close()
+
+    found = asyncio.run(go())
+    assert found.has_quorum and found.can_lose() == 0 and found.decided == decided
+    assert list(found.silent) == [(ips[1], port)] and found.learners() == [f"{ips[3]}/first"]
+
+
+def test_no_quorum_is_told_also_while_a_change_is_under_way() -> None:
+    joint = value(5, 5, LIST.change([*LIST.seats, "10.0.0.4/x", "10.0.0.5/x"]))
+    assert surveyed(*(report(ip, joint) for ip in IPS)).can_lose() == 0
+    assert surveyed(*(report(ip, joint) for ip in IPS[:2])).can_lose() == -1
+    assert surveyed().can_lose() == -1 and not surveyed().has_quorum
+
+
+# A new first list
+
+
+DISK = (value(3, 3), value(3, 3), (2, 3))
+ALL = ("10.0.0.2", "10.0.0.3")
+
+
+def refused(survey: Survey, *given: str, folder: Folder | None = None) -> list[str]:
+    disk = look(folder or filled(MemoryDisk(), *DISK))
+    return adoption.refusals(disk, adoption.plan(disk, IPS[0]), IPS[0], survey, given)
+
+
+@pytest.mark.parametrize(("survey", "given", "why"), [
+    (surveyed(silent=IPS), (), "--yes-lose 10.0.0.2"),
+    (surveyed(silent=IPS), ALL[:1], "--yes-lose 10.0.0.3"),
+    (surveyed(report(IPS[0], value(3, 3))), ALL, "stop it first"),
+    (surveyed(report(IPS[1], value(3, 3))), ALL, "a quorum of list 0 can still be had"),
+    (surveyed(report(IPS[1], value(4, 4), "new")), ALL, "adopt there"),
+    (surveyed(report(IPS[1], UNKNOWN, "new", value(4, 4), False)), ALL, "adopt there"),
+])
+def test_an_adoption_is_refused(survey: Survey, given: tuple[str, ...], why: str) -> None:
+    found = refused(survey, *given)
+    assert found and any(why in one for one in found)
+
+
+def test_an_adoption_is_done_when_each_that_is_lost_was_named() -> None:
+    assert refused(surveyed(silent=IPS), *ALL) == []
+    wiped = surveyed(report(IPS[1], UNKNOWN, "new", holds=False), silent=IPS[2:])
+    assert refused(wiped, IPS[2]) == []
+
+
+def test_what_is_decided_but_not_here_must_be_named() -> None:
+    folder = filled(MemoryDisk(), value(2, 2), value(3, 3), (2,))
+    found = refused(surveyed(silent=IPS), *ALL, folder=folder)
+    assert len(found) == 1 and "--yes-lose r3" in found[0]
+    assert refused(surveyed(silent=IPS), *ALL, "r3", folder=folder) == []
+    assert adoption.plan(look(folder), IPS[0]).base == value(2, 2)
+    elsewhere = surveyed(report(IPS[1], value(4, 4), "new", UNKNOWN, False), silent=IPS[2:])
+    found = refused(elsewhere, IPS[2])
+    assert len(found) == 1 and "--yes-lose r4" in found[0]
+
+
+def test_an_empty_or_damaged_disk_gives_up_everything() -> None:
+    folder = filled(MemoryDisk(), *DISK)
+    folder.write(NAME, b"?")
+    for one in (MemoryDisk(), folder):
+        assert any(adoption.EVERYTHING in why for why in refused(surveyed(silent=IPS), *ALL, folder=one))
+        assert refused(surveyed(silent=IPS), *ALL, adoption.EVERYTHING, folder=one) == []
+
+
+def test_an_adopted_list_lies_above_all_that_was() -> None:
+    folder = filled(MemoryDisk(), *DISK)
+    planned = adoption.plan(look(folder), IPS[0])
+    adoption.adopt(folder, planned)
+    state = Keeper(folder).open()
+    assert state is not None and state.disk != "first" and not verify(look(folder))
+    assert state.decided.members.seats == (seat(IPS[0], state.disk),) and state.decided.stamp == word(3).stamp
+    assert state.kept.accepted > Ballot(900_000, "z") and state.decided.change > 900_000
+
+
+def decide(known: Members, change: Change, kept: dict[str, Kept], own: str) -> Value | None:
+    """Ballots of a proposer among those that answer, until one gets through; None where none does in ten."""
+    count = kept[own].promised.count
+    for _ in range(10):
+        count += 1
+        ballot = Round(Ballot(count, own), known, change)
+        for step in (Step.PREPARING, Step.ACCEPTING):
+            asked: set[str] = set()
+            while ballot.step is step and (waiting := sorted((ballot.targets() & set(kept)) - asked)):
+                asked.add(waiting[0])
+                if step is Step.PREPARING:
+                    good, kept[waiting[0]] = on_prepare(kept[waiting[0]], ballot.ballot)
+                    ballot.on_promise(waiting[0], good, kept[waiting[0]])
+                else:
+                    assert ballot.value is not None
+                    good, kept[waiting[0]] = on_accept(kept[waiting[0]], ballot.ballot, ballot.value)
+                    ballot.on_accept(waiting[0], good, kept[waiting[0]].promised)
+        if ballot.step is Step.DECIDED:
+            return ballot.value
+        count = max(count, ballot.above.count)
+    return None
+
+
+def test_what_an_old_member_accepted_never_comes_back() -> None:
+    """C turns up with its disk, on which lies a high ballot of the old list; it is a member again, and follows."""
+    planned = adoption.plan(look(filled(MemoryDisk(), *DISK)), IPS[0])
+    own, late = planned.state.decided.members.seats[0], seat(IPS[2], "first")
+    old = Ballot(200, late)
+    kept = {own: planned.state.kept, "10.0.0.2/new": Kept(NO_BALLOT, NO_BALLOT, UNKNOWN),
+            late: Kept(old, old, value(9, 9))}
+    now = planned.state.decided
+    for seats in ([own, "10.0.0.2/new"], [own, "10.0.0.2/new", late]):
+        for wanted in (now.members.change(seats), now.members.change(seats).settled()):
+            decided = decide(now.members, set_members(wanted), kept, own)
+            assert decided is not None and decided.members == wanted
+            now = decided
+    for proposer in (late, own, "10.0.0.2/new"):
+        decided = decide(now.members, same, kept, proposer)
+        assert decided is not None and decided.stamp == word(3).stamp
+    decided = decide(now.members, put(word(4).stamp), kept, late)
+    assert decided is not None and decided.stamp == word(4).stamp
+
+
+# Commands
+
+
+@pytest.fixture
+def run(monkeypatch: pytest.MonkeyPatch, tmp_path: Path) -> Any:
+    """Runs a command; `--settings` names core machine 1 with its folder."""
+    folder = tmp_path / "data"
+    folder.mkdir()
+    filled(DiskFolder(str(folder)), *DISK)
+    settings = tmp_path / "settings.toml"
+    settings.write_text(
+        f'node_name = "c"\nrole = "store"\nip = "{IPS[0]}"\nzone = "z"\nport_range = [{PORT}, 7355]\n'
+        f'seed_peers = ["10.0.0.1:80", "10.0.0.2:80"]\ndata_path = "{folder}"\n')
+
+    def go(*arguments: str, heard: Survey | None = None) -> Result:
+        async def answers(addresses: Iterable[Address]) -> Survey:
+            assert {ip_of(ip) for ip, _ in addresses} >= {"10.0.0.1", "10.0.0.2"}
+            return heard or surveyed(silent=IPS)
+
+        monkeypatch.setattr(survey, "survey", answers)
+        given = [one.replace("SETTINGS", str(settings)).replace("FOLDER", str(folder)) for one in arguments]
+        return CliRunner().invoke(main, ["almanac", *given], catch_exceptions=False)
+
+    return go
+
+
+LIVE = surveyed(report(IPS[0], value(3, 3)), report(IPS[1], value(3, 3)), report("10.0.0.4", value(2, 2), "x"),
+                silent=IPS[2:])
+
+
+def test_status_and_members(run: Any) -> None:
+    for command in ("status", "members"):
+        shown = run(command, "--settings", "SETTINGS", heard=LIVE)
+        assert shown.exit_code == 0 and "it bears the loss of 0 more" in shown.output
+        assert "10.0.0.4/x" in shown.output and "learner" in shown.output
+        assert run(command, "10.0.0.1:7340", "10.0.0.2:7340").exit_code == 2
+        alone = surveyed(report(IPS[0], value(3, 3)), silent=IPS[1:])
+        assert run(command, "--settings", "SETTINGS", heard=alone).exit_code == 1
+    told = json.loads(run("status", "--settings", "SETTINGS", "--json", heard=LIVE).output)
+    assert (told["change"], told["generation"], told["quorum"], told["bears"]) == (3, "r3", True, 0)
+    assert [store["counts"] for store in told["stores"]] == ["member", "member", "learner"]
+    told = json.loads(run("members", "--settings", "SETTINGS", "--json", heard=LIVE).output)
+    assert [one["answers"] for one in told["seats"]] == [True, True, False, True]
+
+
+def test_no_store_named_and_bad_addresses_are_told(run: Any) -> None:
+    assert run("status").exit_code == 2 and "--settings: wanted" in run("status").output
+    assert "is no ip:port" in run("status", "10.0.0.1").output
+    assert run("history", "/nowhere-at-all").exit_code == 2
+
+
+def test_history_verify_and_export(run: Any, tmp_path: Path) -> None:
+    assert "decided: change 3, r3, list 0" in run("history", "FOLDER").output
+    told = json.loads(run("history", "FOLDER", "--json").output)
+    assert [one["stands"] for one in told["versions"]] == ["decided", "kept"] and told["kept"]["disk"] == "first"
+    assert run("verify", "FOLDER").exit_code == 0
+    assert run("export", "FOLDER").stdout_bytes == word(3).body
+    out = tmp_path / "out.json"
+    assert json.loads(run("export", "FOLDER", "--generation", "r2", "--to", str(out), "--json").output)["bytes"]
+    assert out.read_bytes() == word(2).body
+    assert run("export", "FOLDER", "--generation", "r9").exit_code == 1
+    assert run("export", "FOLDER", "--json").exit_code == 2
+    (tmp_path / "data" / NAME).write_bytes(b"?")
+    assert run("verify", "FOLDER").exit_code == 1
+    assert not json.loads(run("verify", "FOLDER", "--json").output)["good"]
+
+
+def test_adopt_from_the_command_line(run: Any, tmp_path: Path) -> None:
+    before = (tmp_path / "data" / NAME).read_bytes()
+    assert run("adopt", "--settings", "SETTINGS").exit_code == 1
+    names = ("--yes-lose", "10.0.0.2", "--yes-lose", "10.0.0.3")
+    assert run("adopt", "--settings", "SETTINGS", *names, heard=LIVE).exit_code == 1
+    dry = run("adopt", "--settings", "SETTINGS", *names, "--dry-run")
+    assert dry.exit_code == 0 and "would be" in dry.output
+    assert (tmp_path / "data" / NAME).read_bytes() == before
+    done = run("adopt", "--settings", "SETTINGS", *names, "--json")
+    assert done.exit_code == 0
+    assert json.loads(done.output)["gives_up"] == ["10.0.0.2", "10.0.0.3"]
+    assert run("verify", "FOLDER").exit_code == 0
+    told = json.loads(run("history", "FOLDER", "--json").output)
+    assert len(told["kept"]["decided"]["seats"]) == 1 and told["kept"]["decided"]["generation"] == "r3"
