--- a/tests/core_world.py
+++ b/tests/core_world.py
@@ -1,8 +1,7 @@
-"""A core in virtual time for tests of who is a member: machines, disks, cuts, rounds, and a judge that sees all.
+"""A core in virtual time for tests of who is a member: machines, disks, cuts, rounds, a judge that sees all.
 
 The register itself is played as one value that a proposer changes where it reaches the quorums that
-`register.Round` asks for; what an acceptor holds is followed machine by machine. `tests/test_register*.py` look
-at ballots.
+`register.Round` asks for; what an acceptor holds is followed machine by machine. Others look at ballots.
 """
 
 from __future__ import annotations
@@ -74,9 +73,9 @@
     def add(self, slot: int | None = None, zone: str | None = None, disk: str = "new") -> Machine:
         """A new machine at a new address that is switched on now."""
         number, self.made = self.made, self.made + 1
-        made = Machine(f"m{number}", zone or f"z{number % self.zones}", number if slot is None else slot, disk,
-                       Value.first(self.value.members) if disk == FIRST else EMPTY, 0 if disk == FIRST else -1,
-                       self.now + BOOT, Watch(self.now + BOOT), well_at=self.now)
+        known, held = (Value.first(self.value.members), 0) if disk == FIRST else (EMPTY, -1)
+        made = Machine(f"m{number}", zone or f"z{number % self.zones}", number if slot is None else slot,
+                       disk, known, held, self.now + BOOT, Watch(self.now + BOOT), well_at=self.now)
         self.machines[made.ip] = made
         return made
 
@@ -142,8 +141,9 @@
         there = {machine.seat: machine.held for machine in self.machines.values() if not machine.gone}
         holders = {seat_ for seat_, held in there.items() if held >= self.value.change}
         others = set(there) - holders
+        lists = [set(seats) for seats in (members.seats, members.former) if seats]
         return bool(holders & members.voters()) and any(
-            len(others & set(seats)) < len(seats) // 2 + 1 for seats in (members.seats, members.former) if seats)
+            len(others & seats) < len(seats) // 2 + 1 for seats in lists)
 
     # What time does
 
@@ -154,12 +154,13 @@
             for index, machine in enumerate(list(self.machines.values())):
                 if self.is_up(machine) and (self.steps + index) % ROUND == 0:
                     self._round(machine)
-                if machine.term_at is not None and self.is_up(machine) and self._goes(machine, machine.term_at):
+                if self.is_up(machine) and self._goes(machine):
                     self.kill(machine, machine.gone)
             check()
 
-    def _goes(self, machine: Machine, term_at: float) -> bool:
-        since = self.now - term_at
+    def _goes(self, machine: Machine) -> bool:
+        """Whether it was told to end and goes now."""
+        since = -1.0 if machine.term_at is None else self.now - machine.term_at
         return since >= GRACE or (
             since >= 1.0 and self.goes(machine.known, machine.watch, machine.seat, self.now))
 
@@ -193,7 +194,7 @@
         return True
 
     def order(self, number: int, slow: frozenset[str] = frozenset()) -> bool:
-        """An operator's order by whichever member gets it through; the machines that are `slow` take it last."""
+        """An operator's order by whichever member gets it through; machines that are `slow` take it last."""
         value = put(Stamp(number, b"body"))(self.value)
         for machine in self.machines.values():
             if machine.seat in self.value.members.voters() and self._decide(machine, value, slow):
@@ -202,7 +203,7 @@
         return False
 
     def _decide(self, proposer: Machine, value: Value, slow: frozenset[str] = frozenset()) -> bool:
-        """Accepted by no more than it takes, and by those first that are of least use: who leaves, the oldest."""
+        """Accepted by no more than it takes, those first that are of least use: who leaves, the oldest."""
         takers: list[Machine] = []
         lists = self.counted(self.value, value)
         for machine in sorted(self.reached(proposer), key=lambda one: (one.ip in slow, one.term_at is None)):
--- a/tests/test_almanac_tool.py
+++ b/tests/test_almanac_tool.py
@@ -1,14 +1,16 @@
-"""`irisdeal almanac`: folders read and verified, stores asked, a new first list that is hard to begin wrongly."""
+"""`irisdeal almanac`: folders read and verified, stores asked, a new first list that is hard to get wrong."""
 
 from __future__ import annotations
 
 import asyncio
 import json
+import shlex
 import socket
 from collections.abc import Iterable
 from pathlib import Path
 from typing import Any
 
+import click
 import pytest
 from click.testing import CliRunner, Result
 
@@ -36,6 +38,7 @@
 from irisdeal.almanac.report import Report
 from irisdeal.almanac.survey import Survey, survey as ask_all
 from irisdeal.almanac.word import Word
+from irisdeal.cli.almanac import almanac
 from irisdeal.cli.main import main
 from irisdeal.mast.settings import Address
 from irisdeal.squall.disk import MemoryDisk
@@ -226,7 +229,7 @@
 
 
 def test_what_an_old_member_accepted_never_comes_back() -> None:
-    """C turns up with its disk, on which lies a high ballot of the old list; it is a member again, and follows."""
+    """C turns up with its disk, on which lies a high ballot of the old list; it is a member and follows."""
     planned = adoption.plan(look(filled(MemoryDisk(), *DISK)), IPS[0])
     own, late = planned.state.decided.members.seats[0], seat(IPS[2], "first")
     old = Ballot(200, late)
@@ -271,8 +274,8 @@
     return go
 
 
-LIVE = surveyed(report(IPS[0], value(3, 3)), report(IPS[1], value(3, 3)), report("10.0.0.4", value(2, 2), "x"),
-                silent=IPS[2:])
+LIVE = surveyed(report(IPS[0], value(3, 3)), report(IPS[1], value(3, 3)),
+                report("10.0.0.4", value(2, 2), "x"), silent=IPS[2:])
 
 
 def test_status_and_members(run: Any) -> None:
@@ -299,11 +302,13 @@
 def test_history_verify_and_export(run: Any, tmp_path: Path) -> None:
     assert "decided: change 3, r3, list 0" in run("history", "FOLDER").output
     told = json.loads(run("history", "FOLDER", "--json").output)
-    assert [one["stands"] for one in told["versions"]] == ["decided", "kept"] and told["kept"]["disk"] == "first"
+    assert [one["stands"] for one in told["versions"]] == ["decided", "kept"]
+    assert told["kept"]["disk"] == "first"
     assert run("verify", "FOLDER").exit_code == 0
     assert run("export", "FOLDER").stdout_bytes == word(3).body
     out = tmp_path / "out.json"
-    assert json.loads(run("export", "FOLDER", "--generation", "r2", "--to", str(out), "--json").output)["bytes"]
+    written = run("export", "FOLDER", "--generation", "r2", "--to", str(out), "--json")
+    assert json.loads(written.output)["bytes"] == len(word(2).body)
     assert out.read_bytes() == word(2).body
     assert run("export", "FOLDER", "--generation", "r9").exit_code == 1
     assert run("export", "FOLDER", "--json").exit_code == 2
@@ -326,3 +331,15 @@
     assert run("verify", "FOLDER").exit_code == 0
     told = json.loads(run("history", "FOLDER", "--json").output)
     assert len(told["kept"]["decided"]["seats"]) == 1 and told["kept"]["decided"]["generation"] == "r3"
+
+
+def test_every_command_of_the_pages_can_be_given() -> None:
+    pages = Path(__file__).parent.parent / "docs" / "operate"
+    text = "\n".join((pages / name).read_text("utf-8") for name in ("control.md", "control-runbook.md"))
+    lines = [line.strip() for line in text.splitlines() if line.strip().startswith("irisdeal ")]
+    assert len(lines) > 10
+    for line in lines:
+        program, group, command, *arguments = shlex.split(line)
+        assert (program, group) == ("irisdeal", "almanac"), line
+        found = almanac.commands[command]
+        found.make_parser(click.Context(found)).parse_args(arguments)  # UsageError where it cannot be given
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -43,9 +43,8 @@
     world.run(seconds, check)
 
 
-def reports(*seats: str, at: float = 10.0, value: Value, since: float = 0.0, leaving: str = "") -> dict[str, Heard]:
-    return {name: Heard(at, Report(name, f"z{name[1:2]}", NO_BALLOT, value, value, True, name == leaving), since)
-            for name in seats}
+def reports(*seats: str, at: float = 10.0, value: Value) -> dict[str, Heard]:
+    return {name: Heard(at, Report(name, "z", NO_BALLOT, value, value, True), 0.0) for name in seats}
 
 
 # The policy by itself
@@ -57,7 +56,8 @@
 
 def test_an_unsettled_list_is_settled_first() -> None:
     value = Value(1, first("a").stamp, Members.first("abc").change(["a/first", "b/first", "d/x"]))
-    found = next_members(value, reports(*value.members.voters(), "e/x", value=value), "a/first", 10.0, Wanted())
+    heard = reports(*value.members.voters(), "e/x", value=value)
+    found = next_members(value, heard, "a/first", 10.0, Wanted())
     assert found == value.members.settled()
 
 
@@ -99,7 +99,8 @@
 
 def test_no_change_without_a_live_majority_of_both_lists() -> None:
     value = first("a", "b", "c")
-    assert next_members(value, reports("a/first", "d/x", "e/x", value=value), "a/first", 10.0, Wanted()) is None
+    heard = reports("a/first", "d/x", "e/x", value=value)
+    assert next_members(value, heard, "a/first", 10.0, Wanted()) is None
 
 
 def test_a_lost_disk_is_replaced_by_the_new_one_of_its_machine_though_another_is_ready() -> None:
@@ -147,7 +148,7 @@
 @pytest.mark.parametrize("lead", [-1.0, 0.0, 1.0], ids=["successor-first", "at-once", "successor-later"])
 @pytest.mark.parametrize("how", ["kill", "terminate"])
 def test_ten_replacements_at_new_addresses(cores: int, lead: float, how: str) -> None:
-    """Six seconds apart, each in an order of its own; the program before answered no read after the second."""
+    """Six seconds apart; the program before answered no read after the second."""
     world = begun(cores)
     for number in range(10):
         old = next(machine for machine in world.machines.values() if not machine.gone)
@@ -307,6 +308,9 @@
     assert holds
 
 
+LOSSES = ("kill", "wipe", "freeze", "cut", "end", "remove", "follow")
+
+
 class Days(RuleBasedStateMachine):
     """Any order of losses, one at a time as `tolerance` counts them, and of orders."""
 
@@ -329,7 +333,7 @@
         return not any(map(self.world.is_lost, self.slots()))
 
     @precondition(lambda self: self.all_well())
-    @rule(pick=st.integers(0, 9), how=st.sampled_from(["kill", "wipe", "freeze", "cut", "end", "remove", "follow"]))
+    @rule(pick=st.integers(0, 9), how=st.sampled_from(LOSSES))
     def lose(self, pick: int, how: str) -> None:
         slots = self.slots()
         machine = slots[sorted(slots)[pick % len(slots)]]
--- a/tests/test_members_counting.py
+++ b/tests/test_members_counting.py
@@ -1,7 +1,7 @@
-"""The counting argument of lists and ballots, by a solver: no set of answers breaks it, and wrong rules are found.
+"""The counting argument of lists and ballots, by a solver: nothing breaks it, and wrong rules are found.
 
-`z3` looks for a counterexample among all lists, quorums and ballots within the bounds named; `unsat` says that
-there is none. First two lists of any size up to 9 and one change; then whole histories of ballots, with
+`z3` looks for a counterexample among all lists, quorums and ballots within the bounds named; `unsat` says
+that there is none. First two lists of any size up to 9 and one change; then whole histories of ballots, with
 proposers that know an old list, as `register.Round` counts them.
 """
 
@@ -111,7 +111,7 @@
 
 
 def test_a_wiped_seat_never_counts() -> None:
-    """A machine whose disk is lost is another seat; the old one answers no more, so whom a quorum meets holds."""
+    """A lost disk's machine is another seat; the old one answers no more: whom a quorum meets holds."""
     change, sizes = Change.any()
     wiped = bits("wiped", LARGEST + 1)
     holders = [z3.And(here, z3.Not(lost)) for here, lost in zip(change.deciders, wiped, strict=True)]
@@ -140,9 +140,9 @@
 class Ballots:
     """Each ballot in a history: what its proposer knew, took over, proposed, and who promised and accepted.
 
-    Ballot 0 is the first list, which all hold. A ballot takes over the highest below it that one of its promises
-    had accepted: who promised a ballot accepts no lower one afterwards, so that is every lower one that it ever
-    accepts. A proposer knows the list of any decided ballot below its own, however old.
+    Ballot 0 is the first list, which all hold. A ballot takes over the highest below it that one of its
+    promises had accepted: who promised a ballot accepts no lower one afterwards, so that is every lower one
+    that it ever accepts. A proposer knows the list of any decided ballot below its own, however old.
     """
 
     seats: int
@@ -196,7 +196,7 @@
 
 @pytest.mark.parametrize(("seats", "count"), [(3, 6), (4, 5)])
 def test_no_ballot_takes_over_less_than_what_is_decided(seats: int, count: int) -> None:
-    """Any lists, any changes of them, proposers that know any old list. Decided: by a quorum of its own list."""
+    """Any lists and changes of them, proposers that know any old list. Decided: a quorum of its own list."""
     assert not found(*Ballots(seats, count).breach())
 
 
