--- /dev/null
+++ b/tests/test_register_states.py
@@ -0,0 +1,111 @@
+"""The register searched state by state, and what the search finds when it is broken."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import pytest
+
+from benchmarks.register_states import PLANS, THREE, A, B, Plan, orders, search
+from irisdeal.almanac import register, report
+from irisdeal.almanac.members import Members, majority
+from irisdeal.almanac.register import Ballot, Kept, Value
+from irisdeal.almanac.report import Report
+
+FEW = 6_000  # states of each plan here; `python -m benchmarks.register_states` looks at millions
+
+
+@pytest.mark.parametrize("name", PLANS)
+def test_no_state_within_the_bound_breaks_a_rule(name: str) -> None:
+    found = search(name, FEW)
+    print(f"{name}: {found.states} states, {max(found.depths)} steps deep, complete: {found.complete}")
+    assert not found.broken, (found.broken, found.way)
+    assert found.states > FEW / 4
+
+
+def test_all_states_of_one_ballot_each() -> None:
+    found = search("two bodies under one number", ballots=(1, 1))
+    print(f"one ballot each: {found.states} states, {max(found.depths)} steps deep")
+    assert found.complete and not found.broken, (found.broken, found.way)
+
+
+def _accepts_after_a_higher_promise(patch: pytest.MonkeyPatch) -> None:
+    def on_accept(kept: Kept, ballot: Ballot, value: Value) -> tuple[bool, Kept]:
+        return (True, Kept(max(ballot, kept.promised), ballot, value)) if ballot >= kept.accepted else (False, kept)
+    patch.setattr(register, "on_accept", on_accept)
+
+
+def _promises_a_lower_one(patch: pytest.MonkeyPatch) -> None:
+    def on_prepare(kept: Kept, ballot: Ballot) -> tuple[bool, Kept]:
+        return True, Kept(ballot, kept.accepted, kept.value)
+    patch.setattr(register, "on_prepare", on_prepare)
+
+
+def _old_majority_alone(patch: pytest.MonkeyPatch) -> None:
+    def is_quorum(self: Members, heard: Iterable[str]) -> bool:
+        seats = self.former or self.seats
+        return len(set(heard) & set(seats)) >= majority(seats)
+    patch.setattr(Members, "is_quorum", is_quorum)
+
+
+def _learner_counted(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Members, "is_quorum", lambda self, heard: len(set(heard)) >= majority(self.seats))
+    patch.setattr(Members, "voters", lambda self: frozenset({*self.seats, *self.former, "d"}))
+
+
+def _own_body_first(patch: pytest.MonkeyPatch) -> None:
+    """The proposer does not take over what others accepted."""
+    taken = register.Round._highest
+
+    def highest(self: register.Round) -> Kept | None:
+        found = taken(self)
+        first = Value.first(Members(0, THREE))
+        return Kept(found.promised, found.accepted, first) if found is not None else None
+    patch.setattr(register.Round, "_highest", highest)
+
+
+def _reads_what_is_not_safe(patch: pytest.MonkeyPatch) -> None:
+    def read_from(reports: Iterable[Report], known: Members) -> Value | None:
+        heard = list(reports)
+        if not known.is_quorum(one.seat for one in heard):
+            return None
+        return max(heard, key=lambda one: one.accepted).value
+    patch.setattr(report, "read_from", read_from)
+
+
+def _in_force_before_decided(patch: pytest.MonkeyPatch) -> None:
+    def decided_among(reports: Iterable[Report]) -> Value | None:
+        return max((one.value for one in reports), key=lambda value: value.change, default=None)
+    patch.setattr(report, "decided_among", decided_among)
+
+
+def _nothing(patch: pytest.MonkeyPatch) -> None:
+    pass
+
+
+@pytest.mark.parametrize(("plant", "plan", "changes", "rule"), [
+    (_nothing, "two bodies, a kill", {"unsynced": True}, "does not take over"),
+    (_nothing, "two bodies, a kill", {"reused": True}, "two bodies|does not take over|change 1 is"),
+    (_accepts_after_a_higher_promise, "two bodies under one number", {}, "does not take over"),
+    (_promises_a_lower_one, "two bodies under one number", {}, "does not take over"),
+    (_own_body_first, "two bodies under one number", {}, "two bodies|does not take over|change 1 is"),
+    (_old_majority_alone, "a fourth member, knows the old list", {}, "does not take over"),
+    (_learner_counted, "a fourth member", {}, "does not take over"),
+    (_reads_what_is_not_safe, "a read", {}, "a read answers|does not take over"),
+    (_in_force_before_decided, "a read", {}, "a read answers|does not take over"),
+    (_nothing, "an empty disk", {"wiped": (2, 2), "programs": (orders(A), orders(B))}, "does not take over"),
+], ids=lambda value: value.__name__ if callable(value) else None)
+def test_a_planted_bug_is_found(
+    plant: Callable[[pytest.MonkeyPatch], Any], plan: str, changes: dict[str, Any], rule: str,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    plant(monkeypatch)
+    found = search(plan, 60_000, **changes)
+    print(f"{found.states} states: {found.broken}", *found.way, sep="\n  ")
+    assert any(text in found.broken for text in rule.split("|")), found.states
+    assert found.broken
+
+
+def test_the_plans_are_of_three_and_four_members() -> None:
+    assert {plan.first for plan in PLANS.values()} == {3, 4} and all(isinstance(one, Plan) for one in PLANS.values())
