--- a/irisdeal/squall/stage.py
+++ b/irisdeal/squall/stage.py
@@ -102,7 +102,7 @@
         seeds = self.first if first else self.chance.sample(self.hosts, min(SEEDS, len(self.hosts)))
         return Settings(
             node_name=host, role="almanac", ip=host, zone=f"z{host}", port_range=(FIRST_PORT, FIRST_PORT + 15),
-            bootstrap=first, counted=True, seed_peers=tuple(f"{seed}:8000" for seed in seeds),
+            config_source="compared", bootstrap=first, counted=True, seed_peers=tuple(f"{seed}:8000" for seed in seeds),
             tolerance=Tolerance(1), bounds=BOUNDS)
 
     def start(self, host: str, first: bool = False) -> None:
