--- a/irisdeal/gauge/store.py
+++ b/irisdeal/gauge/store.py
@@ -147,11 +147,13 @@
         while True:
             source, before, sent = self.source, self._progress(), self.loop.time()
             ear = await self._ask(source, True)
+            if source != self.source:
+                continue  # another one is followed by now
             if ear is Ear.GOOD:
                 self._found(source)
                 if before == self._progress() and self.loop.time() - sent < PAUSE:
                     await asyncio.sleep(PAUSE)
-            elif source == self.source:
+            else:
                 await self._seek()
 
     def _progress(self) -> tuple[int, Have]:
@@ -164,10 +166,9 @@
         source = self.source
         if source != self.ip and await self._ask(self.ip, False) is Ear.GOOD:
             return self._found(self.ip)
-        if await self._ask(source, False) is Ear.GOOD:
-            self._found(source)
-        elif source == self.source:
-            await self._seek()
+        ear = await self._ask(source, False)
+        if source == self.source:
+            await self._seek() if ear is not Ear.GOOD else self._found(source)
 
     async def _seek(self) -> None:
         """Find a store that has contact; both loops wait for the same search."""
