--- a/irisdeal/mast/events.py
+++ b/irisdeal/mast/events.py
@@ -55,6 +55,9 @@
     315: (INFO, "the list of the core has changed: machines that left are forgotten"),
     316: (INFO, "enough of the core has told which backends there are"),
     317: (WARNING, "too few of the core have told which backends there are; goes on without"),
+    320: (WARNING, "stood still: tokens, parts and places of before are dropped"),
+    321: (WARNING, "tokens were asked or lent under an older term and do not count"),
+    322: (INFO, "takes its part of the quotas again"),
     400: (INFO, "a configuration is in force"),
     401: (INFO, "ready"),
     402: (INFO, "not ready"),
@@ -68,6 +71,9 @@
     412: (INFO, "in contact with the core again"),
     413: (INFO, "the sources are others: those that left the core are forgotten"),
     500: (WARNING, "a peer sent a frame that cannot be read"),
+    510: (WARNING, "a peer answered what was not asked; its connection ends"),
+    511: (WARNING, "a call came twice; it is not run, and its connection ends"),
+    512: (WARNING, "a backend answered more than once; the connection ends"),
     900: (ERROR, "an invariant does not hold"),
 }
 
