Merge words as differences and pieces

And: a word that a door was in the middle of is not taken for the newest.

A shelf may go on with an older word that a caller is in the middle of, so a registry tells -1 as the change of such a parcel and the age counts only with the newest word. While a word comes in pieces from one source, the other one is told that nothing is wanted: a lie about what is held would make it send a difference against a base that is not here.

--- a/irisdeal/vane/sources.py
+++ b/irisdeal/vane/sources.py
@@ -32,6 +32,7 @@
 from irisdeal.mast.settings import Settings
 from irisdeal.telegraph.link import Link
 
+ENOUGH = Stamp(1 << 62, b"")  # as the word that we have: no source has a newer one
 SOURCES = 2  # asked at once: one may lag or die without a loss of time
 HOLD = 1.0  # s that a source holds an ask without news
 ASK = HOLD + 0.5  # s for news
@@ -204,32 +205,30 @@
                 await asyncio.sleep(MOST_PAUSE)
 
     def _have(self, ip: str) -> Have:
-        """What we have, for this source: a word that comes in pieces from another one is as if it was here."""
-        have = self.arrivals.have(self.stamp)
-        if self.arriving in ("", ip):
-            return have
-        return Have(max(have.stamp, have.arriving, key=lambda stamp: stamp.number))
+        """What we have, for this source: while a word comes in pieces from another one, this is to bring none."""
+        return self.arrivals.have(self.stamp) if self.arriving in ("", ip) else Have(ENOUGH)
 
     def _hear_word(self, ip: str, have: Have, parcel: list[Any] | None, change: int) -> None:
+        """`change`: of the source's newest word; below 0 where this parcel is of an older one."""
         if parcel is None:
             if self.arriving == ip:
                 self.arriving = ""
+            if have.stamp == self.stamp:
+                self.change = max(self.change, change)
         elif have == self._have(ip):  # else the other one has brought it meanwhile
             word = self.arrivals.take(parcel)
-            self.arriving = ip if word is None and self.arrivals.have(self.stamp).offset > 0 else ""
+            self.arriving = ip if word is None and self.arrivals.have(self.stamp).offset != 0 else ""
             if word is not None and word.stamp.number > self.stamp.number:
-                self.word, self.change = word, change
+                self.word, self.change = word, max(self.change, change)
                 self.on_word(word)
-        if parcel is None and have.stamp == self.stamp:
-            self.change = max(self.change, change)
 
     def _hear_age(self, ip: str, sent: float, age: int, change: int) -> bool:
-        """Whether the source has contact. `age`: ms, below 0 where it has none."""
+        """Whether the source has contact. `age`: ms, below 0 where it has none; `change`: as above."""
         if age < 0:
             return False
         as_of = sent - age / 1000
         self.fresh[ip] = as_of
-        if change <= self.change:
+        if 0 <= change <= self.change:
             self.as_of = max(self.as_of, as_of)
         is_good = self.loop.time() - as_of <= OLD
         if is_good:
