--- a/irisdeal/gauge/news.py
+++ b/irisdeal/gauge/news.py
@@ -38,7 +38,8 @@
     async def answer(self, have: list[Any], life: int, changes: int, change: int) -> list[Any]:
         """[parcel or None, our life, our number, changed lives, {ip: zone}, age in ms, change].
 
-        `age`: -1 where no store has contact, or we have just started and do not know the backends.
+        `age`: -1 where no store has contact, or we have just started and do not know the backends. `change`: of our
+        newest word; -1 where the parcel is of an older one, which the door was in the middle of.
         """
         came, has = self.loop.time(), Have.hear(have)
         known = changes if life == self.life else 0
@@ -50,11 +51,12 @@
                 pass
         now, follower = self.loop.time(), self.follower
         stamp = follower.stamp
-        return [self.follower.shelf.parcel(has, stamp) if stamp.number > has.stamp.number else None, self.life,
-                self.registry.number,
+        parcel = follower.shelf.parcel(has, stamp) if stamp.number > has.stamp.number else None
+        is_newest = parcel is None or (parcel[0], parcel[1]) == (stamp.number, stamp.digest)
+        return [parcel, self.life, self.registry.number,
                 [[tell_life(entry.life, now), entry.silent] for entry in self.registry.since(known)],
                 {ip: self.zones.get(ip, "") for ip in sorted(follower.everyone())}, self._age(came),
-                follower.change]
+                follower.change if is_newest else -1]
 
     def _age(self, came: float) -> int:
         age = self.follower.age()
--- a/tests/test_sources.py
+++ b/tests/test_sources.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import random
 from collections import Counter
 from functools import partial
 from itertools import pairwise
@@ -15,13 +16,14 @@
 
 from irisdeal.almanac.contact import LEASE
 from irisdeal.almanac.members import FIRST, Members, seat
-from irisdeal.almanac.word import NOTHING
+from irisdeal.almanac.shelf import PIECE, Have, Shelf
+from irisdeal.almanac.word import Word
 from irisdeal.gauge import news, store
 from irisdeal.sim.machine import Core, Costs, Machine
 from irisdeal.sim.net import Network
 from irisdeal.sim.world import World
 from irisdeal.vane import sources
-from irisdeal.vane.sources import Sources
+from irisdeal.vane.sources import ENOUGH, Sources
 from tests.core_rig import ANSWER, ROUND, CoreRig, DoorPost, settings_of
 
 DEPLOYMENTS = {  # s: contact_ms, apply_ms, revert_slack_ms
@@ -309,10 +311,30 @@
 
 
 def test_while_a_word_comes_in_pieces_from_one_source_the_other_does_not_bring_it() -> None:
-    one = alone([])
-    one.arrivals.stamp, one.arrivals.got, one.arriving = NOTHING, b"some", "10.0.0.1"
-    assert one._have("10.0.0.1").offset == 4
-    assert one._have("10.1.0.1").offset == 0
+    told: list[object] = []
+    one, shelf, chance = alone(told), Shelf(), random.Random(1)
+    word = Word.of("r7", chance.randbytes(3 * PIECE))
+    shelf.hold(word)
+    for piece in range(3):
+        have = one._have("10.0.0.1")
+        assert one._have("10.1.0.1") == (Have(ENOUGH) if piece else have)
+        one._hear_word("10.0.0.1", have, shelf.parcel(have, word.stamp), 4)
+        assert one.change == (4 if piece == 2 else -1)
+    assert told == [word]
+    assert one._have("10.1.0.1").stamp == word.stamp
+    one._hear_word("10.1.0.1", Have(ENOUGH), shelf.parcel(Have(), word.stamp), 4)  # one that was on its way
+    assert told == [word]
+
+
+def test_an_older_word_that_was_on_its_way_is_not_taken_for_the_newest() -> None:
+    one, shelf = alone([]), Shelf()
+    word = Word.of("r7", b"seven")
+    shelf.hold(word)
+    have = one._have("10.0.0.1")
+    one._hear_word("10.0.0.1", have, shelf.parcel(have, word.stamp), -1)  # the source has r8 by now
+    assert one.stamp == word.stamp
+    one._hear_age("10.0.0.1", 1000.0, 300, -1)
+    assert one.age(1001.0) == float("inf")
 
 
 def test_candidates_that_were_left_come_last_and_the_fresh_ones_of_our_zone_first() -> None:
