--- a/irisdeal/squall/core.py
+++ b/irisdeal/squall/core.py
@@ -46,6 +46,7 @@
     outages: list[tuple[str, float]] = field(default_factory=list)  # orders that met a loss: which, s they took
     breaches: list[str] = field(default_factory=list)
     faults: list[str] = field(default_factory=list)
+    trail: str = ""  # of all that happened, to the last byte
 
 
 class CoreDay:
@@ -129,6 +130,7 @@
         verdict.outages = [(name, took) for begun, took in record.times for loss, name in self.director.log.began
                            if 0.0 <= begun - loss <= AFTER_LOSS]
         verdict.breaches += [*check(record.ops), *self._changes(record), *self._ages(record), *events[:3]]
+        verdict.trail = self.stage.world.trail.digest()
         return verdict
 
     def _changes(self, record: Record) -> list[str]:
@@ -163,7 +165,8 @@
         self.events: list[str] = []
 
     def emit(self, record: logging.LogRecord) -> None:
-        self.events.append(record.getMessage())
+        if "OSError(28" not in record.getMessage():  # a call that a full disk refused, and was told so
+            self.events.append(record.getMessage())
 
 
 @contextlib.contextmanager
--- a/irisdeal/squall/faults.py
+++ b/irisdeal/squall/faults.py
@@ -44,6 +44,7 @@
             "one way": self.one_way, "freeze": self.freeze, "slow disk": self.slow_disk,
             "full disk": self.full_disk, "reset": self.reset, "replace": self.replace, "herd": self.herd,
             "after ack": self.after_ack, "after put": self.after_put, "flap": self.flap,
+            "clock": self.clock,
         }
         self.faults = {name: fault for name, fault in every.items() if not only or name in only}
         self.names = [name for name in self.faults for _ in range(WEIGHTS.get(name, 1))]
@@ -154,6 +155,12 @@
             self.stage.reset(host)
             await self.wait(self.chance.uniform(0.0, 0.3))
 
+    async def clock(self, host: str) -> None:
+        """The time of day steps, and returns."""
+        self.stage.stepped = self.chance.choice((-40.0, -3.0, 3.0, 40.0))
+        await self.wait(self.chance.uniform(0.5, 3.0))
+        self.stage.stepped = 0.0
+
     async def replace(self, host: str) -> None:
         """Another machine in its place, at a new address: started before it goes, or after."""
         before, hard = self.chance.random() < 0.5, self.chance.random() < 0.4
--- a/irisdeal/squall/stage.py
+++ b/irisdeal/squall/stage.py
@@ -9,8 +9,11 @@
 import asyncio
 import contextlib
 import random
+import secrets
+import time
 from collections.abc import Callable
 from typing import Any
+from unittest import mock
 
 from irisdeal.almanac.member import Member
 from irisdeal.mast.settings import Settings, Tolerance
@@ -24,6 +27,7 @@
 DELAY, JITTER = 700, 300  # µs of a way
 DISK_TIMES = (500, 2_000, 2_000, 5_000, 60_000)  # µs an act: disks as they are, and one that is worn
 FIRST_PORT = 7000
+MIDNIGHT = 1_700_000_000.0  # s, the time of day at the start
 SEEDS = 3  # addresses in a settings file
 MOST_STEPS = 8  # steps of an act on the disk that may be done before power is gone
 BOUNDS = ("contact_ms=3000", "sync_s=4", "grace_s=6", "ack_ms=5000", "apply_ms=2500", "revert_slack_ms=250")
@@ -65,6 +69,7 @@
         self.callers: list[str] = []  # machines that are no members
         self.hosts: list[str] = []  # the members that there are
         self.made = 0
+        self.stepped = 0.0  # s that the time of day is off
         self.ways: dict[tuple[str, str], Way] = {}
         self.disks: dict[str, MemoryDisk] = {}
         self.machines: dict[str, Host] = {}
@@ -102,7 +107,8 @@
         seeds = self.first if first else self.chance.sample(self.hosts, min(SEEDS, len(self.hosts)))
         return Settings(
             node_name=host, role="almanac", ip=host, zone=f"z{host}", port_range=(FIRST_PORT, FIRST_PORT + 15),
-            config_source="compared", bootstrap=first, counted=True, seed_peers=tuple(f"{seed}:8000" for seed in seeds),
+            config_source="compared", bootstrap=first, counted=True,
+            seed_peers=tuple(f"{seed}:8000" for seed in seeds),
             tolerance=Tolerance(1), bounds=BOUNDS)
 
     def start(self, host: str, first: bool = False) -> None:
@@ -114,6 +120,7 @@
         async def run() -> int:
             self.ends[host] = ending = asyncio.Event()
             member = self.members[host] = self.make(settings, self.disks[host])
+            member.proposer.chance.seed(self.chance.getrandbits(32))  # one seed is one day
             await member.start()
             await ending.wait()
             await member.stop()
@@ -173,7 +180,16 @@
 
     def run(self, over: Callable[[], bool], most: float) -> None:
         """Raises `Stuck` where it is not over after so many s."""
-        self.world.run(over, START + int(most * 1e6))
+        with (mock.patch.object(secrets, "token_hex", self._token),
+              mock.patch.object(time, "time", self._time_of_day)):
+            self.world.run(over, START + int(most * 1e6))
+
+    def _token(self, size: int) -> str:
+        """Identities of disks by the seed."""
+        return self.chance.randbytes(size).hex()
+
+    def _time_of_day(self) -> float:
+        return MIDNIGHT + self.world.seconds() + self.stepped
 
 
 async def pause(machine: Machine, seconds: float) -> None:
