--- a/tests/test_register_states.py
+++ b/tests/test_register_states.py
@@ -108,4 +108,5 @@
 
 
 def test_the_plans_are_of_three_and_four_members() -> None:
-    assert {plan.first for plan in PLANS.values()} == {3, 4} and all(isinstance(one, Plan) for one in PLANS.values())
+    assert {plan.first for plan in PLANS.values()} == {3, 4}
+    assert all(isinstance(one, Plan) for one in PLANS.values())
