--- a/irisdeal/almanac/acceptor.py
+++ b/irisdeal/almanac/acceptor.py
@@ -11,6 +11,8 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any, TypeVar
 
+from returns.result import Failure, Result, Success
+
 from irisdeal.almanac.files import Files
 from irisdeal.almanac.folder import DiskFolder, Folder
 from irisdeal.almanac.keeper import Keeper, State
@@ -66,8 +68,18 @@
         return await asyncio.get_running_loop().run_in_executor(self.thread, act, *given)
 
     async def _whole(self, act: Coroutine[Any, Any, T]) -> T:
-        """Goes to its end also where who asked for it goes away."""
-        return await asyncio.shield(self.tasks.start(act))
+        """Goes to its end also where who asked for it goes away. OSError where the disk refuses."""
+        async def run() -> Result[T, OSError]:
+            try:
+                return Success(await act)
+            except OSError as error:
+                tell(203, error=error)
+                return Failure(error)
+
+        done: Result[T, OSError] = await asyncio.shield(self.tasks.start(run()))
+        if isinstance(done, Failure):
+            raise done.failure()
+        return done.unwrap()
 
     # Promises and accepts
 
--- a/irisdeal/almanac/member.py
+++ b/irisdeal/almanac/member.py
@@ -227,16 +227,8 @@
             case "state":
                 self._heard(body)
                 return self.report().tell()
-            case "prepare" | "accept" if body[0] != self.acceptor.seat:
-                return None  # it is for the disk that was here before
-            case "prepare":
-                good, kept = await self.acceptor.prepare(Ballot.hear(body[1]))
-                return [good, kept.tell()]
-            case "accept":
-                given = await self.acceptor.accept(Ballot.hear(body[1]), Value.hear(body[2]))
-                if given is None:
-                    return [None, Have(self.acceptor.decided.stamp).tell()]
-                return [given[0], given[1].tell()]
+            case "prepare" | "accept":
+                return await self._vote(kind, *body)
             case "bring":
                 return await self.peers.brought(peer, body)
             case "fetch":
@@ -251,6 +243,19 @@
                 return await self.watch(Have.hear(body[0]), int(body[1]))
         raise ValueError(f"no call {kind!r}")
 
+    async def _vote(self, kind: str, seat: str, ballot: list[Any], value: list[Any] | None = None) -> Any:
+        """None where this is not that seat's disk, or where the disk refuses."""
+        if seat != self.acceptor.seat:
+            return None
+        try:
+            if value is None:
+                good, kept = await self.acceptor.prepare(Ballot.hear(ballot))
+                return [good, kept.tell()]
+            given = await self.acceptor.accept(Ballot.hear(ballot), Value.hear(value))
+        except OSError:
+            return None
+        return [given[0], given[1].tell()] if given else [None, Have(self.acceptor.decided.stamp).tell()]
+
     async def put(self, word: Word) -> Outcome:
         """What became of an order. It may come to be decided after a LATER."""
         if not self.has_contact():
--- a/irisdeal/almanac/proposer.py
+++ b/irisdeal/almanac/proposer.py
@@ -131,9 +131,8 @@
         while now() < until:
             try:
                 ballot = await self.ballot(change, above, min(BALLOT, until - now()))
-            except OSError as error:
-                tell(203, error=error)
-                return None
+            except OSError:
+                return None  # our disk refuses: who sent the order goes to another
             if ballot.step is Step.DECIDED:
                 assert ballot.value is not None
                 self.learn(ballot.ballot, ballot.value)
@@ -211,8 +210,8 @@
         if seat == self.acceptor.seat:
             try:
                 given = await self.acceptor.accept(ballot.ballot, value)
-            except OSError as error:
-                return tell(203, error=error)
+            except OSError:
+                return  # the others may be enough
             if given is not None:
                 ballot.on_accept(seat, *given)
             return news.set()
