Members that cannot hear each other, while all others hear both, no longer churn the list

Found by reading: of four, the one proposer left the other out and the third brought it back, again and again for as long as the way between two was cut (the test fails without the change). Who was brought in by others though we do not hear it now counts as heard until we do: four changes in all. Also tested: a successor comes in while 160 orders are made in 22 s.

--- a/irisdeal/almanac/succession.py
+++ b/irisdeal/almanac/succession.py
@@ -18,7 +18,8 @@
 6. A list that could not stand the loss of a zone or region that must be borne changes a member of the fullest
    one for a ready learner elsewhere, where that helps.
 7. More than `most`: one goes, the dead first.
-8. No change whose new list or old list has no live majority, and none to a list shorter than `least` (unless
+8. A member that others brought in though the proposer does not hear it is not dead: the way to it is cut.
+9. No change whose new list or old list has no live majority, and none to a list shorter than `least` (unless
    the old one was as short). Learners count nowhere; one that is leaving becomes no member.
 
 How many vote: all core machines up to 5, or up to 2 t + 1 where `tolerance` asks for more; others are learners
@@ -117,14 +118,15 @@
     now: float
     wanted: Wanted
     since: float  # from when on this process has listened without standing still
+    vouched: Seats = frozenset()  # members that others hear, though this process does not
 
     @property
     def seats(self) -> Seats:
         return frozenset(self.value.members.seats)
 
     def silence(self, seat: str) -> float:
-        """s; 0 for the own seat."""
-        if seat == self.own:
+        """s; 0 for the own seat and those that others vouch for."""
+        if seat == self.own or seat in self.vouched:
             return 0.0
         heard = self.reports.get(seat)
         return self.now - max(heard.at if heard is not None else self.since, self.since)
@@ -182,7 +184,7 @@
                 sum(count * count for count in regions.values()), sum(heard))
 
     def may(self, seats: Seats) -> bool:
-        """Rule 8."""
+        """Rule 9."""
         return (len(self.live(seats)) >= majority(seats) and len(self.live(self.seats)) >= majority(self.seats)
                 and len(seats) >= min(self.wanted.least, len(self.seats)))
 
@@ -250,17 +252,19 @@
 
 def next_members(
     decided: Value, reports: Reports, own: str, now: float, wanted: Wanted, since: float = 0.0,
+    vouched: Seats = frozenset(),
 ) -> Members | None:
     """The list to propose, or None where all is well. For a member in contact with a quorum (see `is_proposer`).
 
     `since`: from when on this process has listened without standing still; silence counts from then on.
+    `vouched`: members that others brought in though this process does not hear them; they count as heard.
     """
     members = decided.members
     if own not in members.voters():
         return None
     if members.former:
         return members.settled()
-    view = _View(decided, reports, own, now, wanted, since)
+    view = _View(decided, reports, own, now, wanted, since, vouched)
     for rule in RULES:
         seats = rule(view)
         if seats is not None:
@@ -308,12 +312,15 @@
         self.wanting: tuple[int, bool] | None = None  # the list's number, and whether it is to be settled
         self.wanted_at = now
         self.told: frozenset[tuple[int, str]] = frozenset()  # (event, seat) that hold now and were told
+        self.list: Members | None = None  # the one that was decided last, as far as this process knew
+        self.vouched: Seats = frozenset()
 
     def heard(self, report: Report, now: float) -> None:
         """A seat's word of itself, also the own seat's."""
         known = self.reports.get(report.seat)
         steady = known is not None and now - known.at < DEAD
         self.reports[report.seat] = Heard(now, report, known.since if known is not None and steady else now)
+        self.vouched -= {report.seat}
 
     def woke(self, now: float) -> None:
         """The process stood still: what it did not hear meanwhile is no silence."""
@@ -322,7 +329,8 @@
     def next(self, decided: Value, own: str, now: float, wanted: Wanted) -> Members | None:
         """What this member is to propose now."""
         self._forget(decided, now)
-        found = next_members(decided, self.reports, own, now, wanted, self.since)
+        self._vouch(decided.members, own, now)
+        found = next_members(decided, self.reports, own, now, wanted, self.since, self.vouched)
         if found is None:
             self.wanting = None
             return None
@@ -348,6 +356,15 @@
         fresh, self.told = sorted(hold - self.told), frozenset(hold)
         return fresh
 
+    def _vouch(self, members: Members, own: str, now: float) -> None:
+        """Whoever was brought in though we do not hear it is heard by others: it is the way to us that is cut. To
+        propose against them again and again would change the list without end."""
+        if self.list is not None and self.list != members:
+            fresh = members.voters() - self.list.voters() - {own}
+            silent = {seat for seat in fresh if seat not in self.reports or now - self.reports[seat].at >= QUIET}
+            self.vouched = (self.vouched | silent) & members.voters()
+        self.list = members
+
     def _forget(self, decided: Value, now: float) -> None:
         voters = decided.members.voters()
         old_first = sorted((heard.at, seat) for seat, heard in self.reports.items() if seat not in voters)
--- a/tests/core_world.py
+++ b/tests/core_world.py
@@ -60,6 +60,7 @@
     counted: Callable[[Value, Value], tuple[Members, ...]] = lambda old, new: (old.members, new.members)
     machines: dict[str, Machine] = field(default_factory=dict)
     lists: list[tuple[float, Members]] = field(default_factory=list)
+    apart: set[frozenset[str]] = field(default_factory=set)  # pairs of machines with no way between them
     made: int = 0
 
     def __post_init__(self) -> None:
@@ -116,7 +117,8 @@
         if not self.is_up(machine):
             return []
         others = [] if machine.cut else [other for other in self.machines.values() if not other.cut]
-        return [machine, *(other for other in others if other is not machine and self.is_up(other))]
+        return [machine, *(other for other in others if other is not machine and self.is_up(other)
+                           and frozenset((machine.ip, other.ip)) not in self.apart)]
 
     def is_lost(self, slot: int) -> bool:
         """As `tolerance` counts it."""
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -228,6 +228,33 @@
     assert world.changes_since(began) <= most
 
 
+@pytest.mark.parametrize("cores", [3, 4, 5, 7])
+@pytest.mark.parametrize("pair", [("m0", "m1"), ("m1", "m2")])
+def test_two_that_do_not_hear_each_other_change_little(cores: int, pair: tuple[str, str]) -> None:
+    """All others hear both. Each may leave the other out once, and the others bring it back in."""
+    world = begun(cores)
+    world.apart.add(frozenset(pair))
+    watched(world, 60.0)
+    assert world.settled() and world.changes_since(BEGUN + 0.01) <= 4
+    world.apart.clear()
+    watched(world, 10.0)
+    assert world.changes_since(BEGUN + 60.0) <= 1 and len(world.value.members.seats) == min(5, cores)
+
+
+@pytest.mark.parametrize("cores", CORES)
+def test_a_successor_comes_in_while_orders_go_on(cores: int) -> None:
+    """160 in 22 s with a member gone for good."""
+    world = begun(cores)
+    for number in range(160):
+        if number == 20:
+            world.kill(world.machines["m1"], gone=True)
+            new, began = world.add(1), world.now
+        assert world.order(number, slow=frozenset({f"m{cores - 1}"}))
+        watched(world, 0.1 if number % 2 else 0.2)
+        if number > 20 and world.now >= began + SECOND:
+            assert new.seat in world.value.members.seats and world.serves(without=1)
+
+
 @pytest.mark.parametrize("cores", CORES)
 def test_a_leaver_with_a_successor_goes_last(cores: int) -> None:
     world = begun(cores)
