Rounds of their own: whoever is silent, or a slow disk, holds up no ask; reads end early

A round waited for the silent (0.75 s) and for chores on the disk, so that contact grew old meanwhile. Asks go out each 0.5 s now, chores go on beside them, and a read takes the first quorum that shows what is decided. A promise that was given and whose answer was lost is taken when it is asked again. A watch of a caller that knows more is held.

--- a/irisdeal/almanac/proposer.py
+++ b/irisdeal/almanac/proposer.py
@@ -25,7 +25,7 @@
 
 BALLOT = 2.5  # s for a ballot: a disk in trouble takes over a second for each of the two syncs
 WORK = 3.0  # s for a decision, with all its ballots; who sent the order may have gone on and come again
-CALL = 2.5  # s for another's promise or accept, its disk's time included
+CALL = 0.6  # s for another's promise or accept, its disk's time included; then it is asked again
 AGAIN = 0.05  # s before a seat is asked again whose connection ended
 PAUSE = 0.02  # s, the least pause after a lost ballot: half a ballot on quiet disks
 MOST_PAUSE = 0.32  # s: so that two pauses fit into the time that an order has
--- a/irisdeal/almanac/register.py
+++ b/irisdeal/almanac/register.py
@@ -181,7 +181,7 @@
         """A seat's answer to the prepare of this ballot."""
         if self.step is not Step.PREPARING:
             return self.step
-        if not good:
+        if not good and kept.promised != self.ballot:  # else it promised this one before: that answer was lost
             self.above, self.step = max(self.above, kept.promised), Step.LOST
             return self.step
         self.promised[seat] = kept
--- /dev/null
+++ b/irisdeal/almanac/rounds.py
@@ -0,0 +1,166 @@
+"""What a member hears of the others: asked in each round, whoever is silent is waited for beside it.
+
+So it knows whether it has contact with a majority, what is decided, and who may come to count or has gone. What
+takes a disk's time or a ballot's goes on beside the rounds, one such chore at a time.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable
+
+from returns.result import Success
+
+from irisdeal.almanac.acceptor import Acceptor
+from irisdeal.almanac.contact import Contact
+from irisdeal.almanac.members import Members
+from irisdeal.almanac.peers import Peers, now
+from irisdeal.almanac.proposer import Proposer
+from irisdeal.almanac.register import UNKNOWN, Value, set_members
+from irisdeal.almanac.report import Report, decided_among
+from irisdeal.almanac.succession import Wanted, Watch
+from irisdeal.mast import places
+from irisdeal.mast.events import tell
+from irisdeal.mast.process import Tasks
+from irisdeal.mast.settings import Settings
+
+ROUND = 0.5  # s between two rounds; what was missed is here within two of them
+SEEKING = 0.12  # s between them without contact
+ANSWER = 0.35  # s for a short answer of another machine: hundreds of times the way there and back
+SOON = 0.02  # s that a round waits for the answers of those that are well: a few ways there and back
+Learn = Callable[[Value, list[str]], None]  # this value is decided, its body is at these machines
+
+
+class Rounds:
+    """One member's view of the others."""
+
+    def __init__(self, settings: Settings, acceptor: Acceptor, peers: Peers, proposer: Proposer, tasks: Tasks,
+                 learn: Learn) -> None:
+        self.settings, self.acceptor, self.peers, self.proposer = settings, acceptor, peers, proposer
+        self.tasks, self.learn = tasks, learn
+        self.contact, self.heard = Contact(), Watch(now())
+        self.leaving = self.was_held = False
+        self.asking: set[str] = set()
+        self.chore: asyncio.Task[None] | None = None
+
+    # What is known
+
+    @property
+    def members(self) -> Members:
+        """The newest list that is known to be decided."""
+        return self.acceptor.decided.members
+
+    def others(self) -> list[str]:
+        """All machines that may be there."""
+        ips = self.members.ips() | self.acceptor.kept.value.members.ips()
+        return sorted((ips | set(places.seeds(self.settings)) | set(self.learners())) - {self.settings.ip})
+
+    def learners(self) -> list[str]:
+        """Machines outside the list that were heard of late."""
+        return self.heard.learners(self.acceptor.decided, now())
+
+    def has_contact(self) -> bool:
+        return self.contact.is_held(self.members, self.acceptor.seat, now())
+
+    def age(self) -> float:
+        """s since a quorum was asked that answered."""
+        return self.contact.age(self.members, self.acceptor.seat, now())
+
+    def report(self) -> Report:
+        kept, decided = self.acceptor.kept, self.acceptor.decided
+        return Report(self.acceptor.seat, self.settings.zone, kept.accepted, kept.value, decided,
+                      decided != UNKNOWN and self.acceptor.holds(decided.stamp), self.leaving)
+
+    # Asking
+
+    def hear(self, report: Report) -> None:
+        """A machine's word of itself, asked for or not."""
+        self.heard.heard(report, now())
+        self.peers.newest[report.ip] = report.decided.stamp
+        self.learn(report.decided, [report.ip])
+
+    async def ask(self, ip: str) -> Report | None:
+        """Its report, as of now; only this shows that we reach it."""
+        asked_at = now()
+        answer = await self.peers.call(ip, "state", self.report().tell(), ANSWER)
+        if not isinstance(answer, Success):
+            return None
+        report = Report.hear(answer.unwrap())
+        self.hear(report)
+        self.contact.heard(report.seat, asked_at)
+        return report
+
+    async def _ask_alone(self, ip: str) -> None:
+        """One ask of a machine at a time."""
+        if ip not in self.asking:
+            self.asking.add(ip)
+            try:
+                await self.ask(ip)
+            finally:
+                self.asking.discard(ip)
+
+    def tell_leaving(self) -> None:
+        """All hear that we leave."""
+        self.leaving = True
+        for ip in self.others():
+            self.peers.tell(ip, "state", self.report().tell())
+
+    # Rounds
+
+    async def run(self) -> None:
+        while True:
+            if self.contact.tick(now()):
+                tell(214)
+                self.heard.woke(now())
+            asks = [self.tasks.start(self._ask_alone(ip)) for ip in self.others()]
+            if asks:
+                await asyncio.wait(asks, timeout=SOON)
+            self._look()
+            await asyncio.sleep(ROUND if self.was_held else SEEKING)
+
+    def _look(self) -> None:
+        """What was heard, taken together."""
+        own, at = self.report(), now()
+        self.heard.heard(own, at)
+        for number, seat in self.heard.news(self.acceptor.decided, self.acceptor.seat, at):
+            tell(number, seat=seat)
+        reports = [heard.report for heard in self.heard.reports.values()]
+        shown = decided_among(reports)
+        if shown is not None:
+            self.learn(shown, [report.ip for report in reports if report.value == shown])
+        if self.has_contact() != self.was_held:
+            self.was_held = not self.was_held
+            tell(225 if self.was_held else 224, list=self.members.number)
+        if self.chore is None or self.chore.done():
+            self.chore = self.tasks.start(self._chores(reports))
+
+    async def _chores(self, reports: Iterable[Report]) -> None:
+        try:
+            await self._catch_up(reports)
+            await self.acceptor.save()
+        except OSError:
+            return  # told as event 203; the next round tries again
+        if self.was_held:
+            await self._propose_members()
+
+    async def _catch_up(self, reports: Iterable[Report]) -> None:
+        """Accept what is decided as others accepted it, as if its proposer had reached us."""
+        kept, decided = self.acceptor.kept, self.acceptor.decided
+        for report in reports:
+            if report.value == decided and report.accepted >= kept.promised and kept.value != decided:
+                tell(210, change=decided.change, ballot=report.accepted.count)
+                await self.acceptor.accept(report.accepted, report.value)
+                return
+
+    async def _propose_members(self) -> None:
+        """The next list, where there is one and it is our turn."""
+        members = self.members
+        wanted = self.heard.next(self.acceptor.decided, self.acceptor.seat, now(), self._wanted())
+        if wanted is not None:
+            tell(215, list=wanted.number, seats=" ".join(wanted.seats), former=" ".join(wanted.former))
+            await self.proposer.decide(set_members(wanted), lambda value: value.members != members)
+
+    def _wanted(self) -> Wanted:
+        settings = self.settings
+        return Wanted(settings.tolerance.machines, settings.tolerance.zones, settings.tolerance.regions,
+                      settings.zones, settings.bound("sync_s", 4.0))
