--- a/benchmarks/register_states.py
+++ b/benchmarks/register_states.py
@@ -10,9 +10,9 @@
 one way, are all of these: no step has to come. That an answer arrives at once or never leaves out nothing: a
 proposer that hears it later does what one does whose accepts are late.
 
-Rules: (0) a ballot proposes one value; (1) a ballot over one whose value was told as decided takes that one over, or one over it; (2) one body for
+Rules: (1) a ballot over one whose value was told as decided takes that one over, or one over it; (2) one body for
 each number, and one value for each change, are told as decided; (3) a read answers no less than what was told as
-decided before it began, and what it answers is decided from then on.
+decided before it began, and what it answers is decided from then on; (4) a ballot proposes one value.
 """
 
 from __future__ import annotations
--- a/irisdeal/almanac/member.py
+++ b/irisdeal/almanac/member.py
@@ -185,16 +185,12 @@
 
     async def _heard_value(self) -> Value | None:
         """What a quorum shows to be decided, asked now; None where a ballot is needed."""
-        known = self.rounds.members
-        asks = [self.tasks.start(self.rounds.ask(ip)) for ip in sorted(known.ips() - {self.ip})]
-        reports = [self.rounds.report()]
-        value = read_from(reports, known)
-        for answer in asyncio.as_completed(asks):
-            if value is not None:
-                break
-            report = await answer
-            reports += [report] if report is not None else []
-            value = read_from(reports, known)
+        known, own = self.rounds.members, self.rounds.report()
+        waiting = {self.tasks.start(self.rounds.ask(ip)) for ip in sorted(known.ips() - {self.ip})}
+        reports = [own]
+        while (value := read_from(reports, known)) is None and waiting:
+            answered, waiting = await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
+            reports += [report for task in answered if (report := task.result()) is not None]
         return value
 
     async def watch(self, have: Have, change: int) -> list[Any]:
--- a/irisdeal/almanac/rounds.py
+++ b/irisdeal/almanac/rounds.py
@@ -103,7 +103,7 @@
         """All hear that we leave."""
         self.leaving = True
         for ip in self.others():
-            self.peers.tell(ip, "state", self.report().tell())
+            self.tasks.start(self.ask(ip))
 
     # Rounds
 
