--- a/benchmarks/register_states.py
+++ b/benchmarks/register_states.py
@@ -160,15 +160,19 @@
     broken: str = ""
     way: list[str] = field(default_factory=list)
 
-    def run(self) -> Search:
+    def begin(self) -> State:
+        """The first state."""
         plan, number = self.plan, self.table.number
         first = Value.first(Members(0, plan.seats[:plan.first]))
         kept, empty = number(Kept(NO_BALLOT, NO_BALLOT, first)), number(Kept(NO_BALLOT, NO_BALLOT, UNKNOWN))
         seats = tuple(kept if index < plan.first else empty if index in plan.there else GONE
                       for index in range(len(plan.seats)))
         count = len(plan.programs)
-        start = State(seats, seats, (GONE,) * count, (0,) * count, (0,) * count, (number(first),) * count,
-                      frozenset(), frozenset(), plan.crashes, False, plan.reads, None)
+        return State(seats, seats, (GONE,) * count, (0,) * count, (0,) * count, (number(first),) * count,
+                     frozenset(), frozenset(), plan.crashes, False, plan.reads, None)
+
+    def run(self) -> Search:
+        start = self.begin()
         came: dict[State, tuple[State | None, str]] = {start: (None, "")}
         waiting = deque([(start, 0)])
         while waiting:
--- a/irisdeal/almanac/member.py
+++ b/irisdeal/almanac/member.py
@@ -136,6 +136,7 @@
             case "fetch":
                 return self.peers.fetched(*body)
             case "decided":
+                self.proposer.meet(Ballot.hear(body[0]))
                 return self.learn(Value.hear(body[1]), [peer.rpartition(" ")[2]])
             case "put":
                 return int(await self.put(Word(Stamp(body[0], bytes(body[1])), bytes(body[2]))))
--- a/irisdeal/almanac/proposer.py
+++ b/irisdeal/almanac/proposer.py
@@ -46,6 +46,7 @@
         self.working = False
         self.news = asyncio.Event()  # something was decided
         self.lasted = PAUSE  # s that the last ballot took
+        self.met = NO_BALLOT  # the highest ballot heard of: to begin over it saves a lost one
 
     # Orders
 
@@ -77,6 +78,10 @@
         is_other = self.compares and held.number == stamp.number and held.digest != stamp.digest
         return Outcome.OTHER if is_other else Outcome.CONFIRMED
 
+    def meet(self, ballot: Ballot) -> None:
+        """Somebody told of this ballot."""
+        self.met = max(self.met, ballot)
+
     def decided(self) -> None:
         """Something was decided, here or elsewhere: orders that it answers are answered."""
         self.news.set()
@@ -127,18 +132,18 @@
 
     async def _decided(self, change: Change, until: float) -> Value | None:
         """What the first ballot that gets through decides; None where none does in time."""
-        above, pause, begun = NO_BALLOT, PAUSE, self.acceptor.decided
+        pause, begun = PAUSE, self.acceptor.decided
         while now() < until:
             try:
-                ballot = await self.ballot(change, above, min(BALLOT, until - now()))
+                ballot = await self.ballot(change, min(BALLOT, until - now()))
             except OSError:
                 return None  # our disk refuses: who sent the order goes to another
             if ballot.step is Step.DECIDED:
                 assert ballot.value is not None
                 self.learn(ballot.ballot, ballot.value)
                 return ballot.value
-            above = max(above, ballot.above)
-            tell(208, ballot=ballot.ballot.count, above=above.count, by=above.seat, step=ballot.step.name)
+            self.meet(ballot.above)
+            tell(208, ballot=ballot.ballot.count, above=self.met.count, by=self.met.seat, step=ballot.step.name)
             await self._pause(pause)
             pause = min(2 * pause, MOST_PAUSE)
             if change is not same and self.acceptor.decided != begun:
@@ -153,10 +158,10 @@
         except TimeoutError:
             pass
 
-    async def ballot(self, change: Change, above: Ballot, within: float) -> Round:
-        """One ballot, over `above`. OSError where our disk refuses."""
+    async def ballot(self, change: Change, within: float) -> Round:
+        """One ballot, over all that were heard of. OSError where our disk refuses."""
         acceptor, begun = self.acceptor, now()
-        count = max(acceptor.kept.promised.count, above.count) + 1
+        count = max(acceptor.kept.promised.count, self.met.count) + 1
         ballot = Round(Ballot(count, acceptor.seat), acceptor.decided.members, change)
         good, kept = await acceptor.prepare(ballot.ballot)  # before it is told: no ballot is used twice
         ballot.on_promise(acceptor.seat, good, kept)
--- a/irisdeal/almanac/rounds.py
+++ b/irisdeal/almanac/rounds.py
@@ -77,6 +77,7 @@
         """A machine's word of itself, asked for or not."""
         self.heard.heard(report, now())
         self.peers.newest[report.ip] = report.decided.stamp
+        self.proposer.meet(report.accepted)
         self.learn(report.decided, [report.ip])
 
     async def ask(self, ip: str) -> Report | None:
