--- a/tests/test_contact.py
+++ b/tests/test_contact.py
@@ -26,9 +26,9 @@
 
 @dataclass
 class Reference:
-    """The definition. In contact at t: there is a moment within the lease before t, such that asks which were sent
-    from then on, and since the process last stood still, were answered by t by a majority of each list, this one
-    counted where it is in it."""
+    """The definition. In contact at t: there is a moment within the lease before t, such that asks which were
+    sent from then on, and since the process last stood still, were answered by t by a majority of each list,
+    this one counted where it is in it."""
 
     asks: list[Ask] = field(default_factory=list)
     woke: float = float("-inf")
@@ -40,9 +40,9 @@
     def _is_enough(self, moment: float, now: float, lists: list[list[str]]) -> bool:
         good = {OWN}
         for ask in self.asks:
-            if ask.answered is not None and ask.answered <= now and ask.sent >= moment and ask.sent >= self.woke:
+            if ask.answered is not None and ask.answered <= now and ask.sent >= max(moment, self.woke):
                 good.add(ask.seat)
-        return all(2 * sum(member in good for member in members) > len(members) for members in lists if members)
+        return all(2 * sum(seat in good for seat in members) > len(members) for members in lists if members)
 
 
 def lists() -> st.SearchStrategy[Members]:
