What a store tells of its age holds for all that was confirmed

And: and what is left open is ended.

The age that `watch` tells is now of the asking of a quorum of seats that had accepted nothing beyond what is in force here (Contact.known_age: quorums share a seat). A member that has contact and sees something accepted and not known as decided for 0.5 to 1 s ends it by a ballot (event 240).

--- a/irisdeal/almanac/contact.py
+++ b/irisdeal/almanac/contact.py
@@ -15,7 +15,11 @@
    before are dropped, also where they come later.
 6. A slow disk does not end contact, since asks wait for no disk; what needs the disk has its own time.
 
-What it tells on carries the age of its knowledge; whoever hears it adds the time since its own ask.
+Contact alone does not make knowledge: what a seat accepted may be decided, and confirmed, by a member that is cut
+off now, and nobody else has seen that. So what is told on (`known_age`) is as old as the asking of a quorum of
+seats that had accepted nothing beyond what is in force here. Each change that was decided before that asking was
+accepted by a quorum, which shares a seat with this one: it is in force here. Whoever hears the age adds the time
+since its own ask.
 """
 
 from __future__ import annotations
@@ -33,16 +37,18 @@
     def __init__(self, lease: float = LEASE) -> None:
         self.lease = lease
         self.asked: dict[str, float] = {}  # seat -> when the newest ask that it answered was sent
+        self.accepted: dict[str, int] = {}  # seat -> the change that it had accepted, by that answer
         self.since = float("-inf")  # asks sent before count no more
         self.ticked: float | None = None
 
-    def heard(self, seat: str, asked_at: float) -> None:
-        """A seat answered an ask of ours that was sent then."""
-        if asked_at < self.since:
+    def heard(self, seat: str, asked_at: float, accepted: int = -1) -> None:
+        """A seat answered an ask of ours that was sent then; `accepted`: the change that it had accepted last."""
+        if asked_at < self.since or asked_at < self.asked.get(seat, asked_at):
             return
-        self.asked[seat] = max(asked_at, self.asked.get(seat, asked_at))
+        self.asked[seat], self.accepted[seat] = asked_at, accepted
         if len(self.asked) > MOST_SEATS:
-            del self.asked[min(self.asked, key=self.asked.__getitem__)]
+            oldest = min(self.asked, key=self.asked.__getitem__)
+            del self.asked[oldest], self.accepted[oldest]
 
     def tick(self, now: float) -> bool:
         """To be called in each round; True where the process stood still since the last one (see `woke`)."""
@@ -55,6 +61,7 @@
     def woke(self, now: float = float("-inf")) -> None:
         """The process stood still until now: what was asked before counts no more."""
         self.asked.clear()
+        self.accepted.clear()
         self.since = max(self.since, now)
 
     def age(self, members: Members, own: str, now: float) -> float:
@@ -62,12 +69,19 @@
 
         inf where there was none.
         """
-        voters = members.voters()
-        times = sorted({at for seat, at in self.asked.items() if seat in voters and at < now}, reverse=True)
-        for at in (now, *times):
-            if members.is_quorum({own, *(seat for seat, asked in self.asked.items() if asked >= at)}):
-                return now - at
-        return float("inf")
+        return _age(members, {**self.asked, own: now}, now)
+
+    def known_age(self, members: Members, own: str, now: float, change: int, accepted: int) -> float:
+        """s since a moment by which all that was decided is in force here; inf where there was none.
+
+        `change`: of what is in force here; `accepted`: of what this seat accepted last.
+        """
+        asked = {seat: at for seat, at in self.asked.items() if self.accepted[seat] <= change}
+        if accepted <= change:
+            asked[own] = now
+        else:
+            asked.pop(own, None)
+        return _age(members, asked, now)
 
     def is_held(self, members: Members, own: str, now: float) -> bool:
         """Whether this process may answer for the core."""
@@ -76,3 +90,13 @@
     def left(self, members: Members, own: str, now: float) -> float:
         """s until contact ends if nobody answers any more; 0 where there is none."""
         return max(0.0, self.lease - self.age(members, own, now))
+
+
+def _age(members: Members, asked: dict[str, float], now: float) -> float:
+    """s since the latest moment from which on a quorum was asked."""
+    voters = members.voters()
+    times = sorted({at for seat, at in asked.items() if seat in voters and at < now}, reverse=True)
+    for at in (now, *times):
+        if members.is_quorum({seat for seat, sent in asked.items() if sent >= at}):
+            return now - at
+    return float("inf")
--- a/irisdeal/almanac/member.py
+++ b/irisdeal/almanac/member.py
@@ -6,9 +6,11 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import Any
 
 from irisdeal.almanac.acceptor import Acceptor
+from irisdeal.almanac.contact import LEASE
 from irisdeal.almanac.folder import Folder
 from irisdeal.almanac.members import Members
 from irisdeal.almanac.peers import Peers, now
@@ -211,5 +213,5 @@
         force, parcel = self.force, None
         if force.change >= change and force.stamp not in (have.stamp, NOTHING):
             parcel = self.peers.fetched(have.tell(), force.stamp.number, force.stamp.digest)
-        age = self.rounds.age() if self.has_contact() else -1.0
-        return [parcel, force.tell(), self.rounds.learners(), int(age * 1000) if age >= 0 else -1]
+        age = self.rounds.known_age(force.change)
+        return [parcel, force.tell(), self.rounds.learners(), math.ceil(age * 1000) if age <= LEASE else -1]
--- a/irisdeal/almanac/rounds.py
+++ b/irisdeal/almanac/rounds.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections.abc import Callable, Iterable
 
 from returns.result import Success
@@ -15,8 +16,8 @@
 from irisdeal.almanac.contact import Contact
 from irisdeal.almanac.members import Members
 from irisdeal.almanac.peers import Peers, now
-from irisdeal.almanac.proposer import Proposer
-from irisdeal.almanac.register import UNKNOWN, Value, set_members
+from irisdeal.almanac.proposer import BALLOT, Proposer
+from irisdeal.almanac.register import NO_BALLOT, UNKNOWN, Value, set_members
 from irisdeal.almanac.report import Report, decided_among
 from irisdeal.almanac.succession import Wanted, Watch
 from irisdeal.mast import places
@@ -26,6 +27,7 @@
 
 ROUND = 0.5  # s between two rounds; what was missed is here within two of them
 SEEKING = 0.12  # s between them without contact
+SETTLE = 0.5  # s at least that a value may be accepted somewhere and not known as decided, then a ballot ends it
 ANSWER = 0.35  # s for a short answer of another machine: hundreds of times the way there and back
 SOON = 0.02  # s that a round waits for the answers of those that are well: a few ways there and back
 Learn = Callable[[Value, list[str]], None]  # this value is decided, its body is at these machines
@@ -39,8 +41,10 @@
         self.settings, self.acceptor, self.peers, self.proposer = settings, acceptor, peers, proposer
         self.tasks, self.learn = tasks, learn
         self.contact, self.heard = Contact(), Watch(now())
+        self.chance = random.Random(acceptor.ip)
         self.leaving = self.was_held = False
         self.asking: set[str] = set()
+        self.open: tuple[int, float] = (-1, 0.0)  # the highest change accepted and not known as decided; since
         self.chore: asyncio.Task[None] | None = None
 
     # What is known
@@ -62,9 +66,10 @@
     def has_contact(self) -> bool:
         return self.contact.is_held(self.members, self.acceptor.seat, now())
 
-    def age(self) -> float:
-        """s since a quorum was asked that answered."""
-        return self.contact.age(self.members, self.acceptor.seat, now())
+    def known_age(self, change: int) -> float:
+        """s since a moment by which all that was decided is in force here, with this change; inf where none."""
+        accepted = self.acceptor.kept.value.change
+        return self.contact.known_age(self.members, self.acceptor.seat, now(), change, accepted)
 
     def report(self) -> Report:
         kept, decided = self.acceptor.kept, self.acceptor.decided
@@ -87,7 +92,7 @@
             return None
         report = Report.hear(answer.unwrap())
         self.hear(report)
-        self.contact.heard(report.seat, asked_at)
+        self.contact.heard(report.seat, asked_at, report.value.change)
         return report
 
     async def _ask_alone(self, ip: str) -> None:
@@ -141,8 +146,26 @@
         except OSError:
             return  # told as event 203; the next round tries again
         if self.was_held:
+            await self._settle(reports)
             await self._propose_members()
 
+    async def _settle(self, reports: Iterable[Report]) -> None:
+        """End what was begun and is not known as decided: it may have been confirmed by one that is cut off now.
+
+        All that see it pause by chance before, and who is first spares it the others.
+        """
+        kept, decided = self.acceptor.kept, self.acceptor.decided
+        ended = kept.accepted if kept.value == decided else NO_BALLOT  # nothing under it can be decided any more
+        change = max((report.value.change for report in reports if report.accepted > ended), default=-1)
+        if change <= decided.change:
+            self.open = (-1, 0.0)
+        elif change != self.open[0]:
+            self.open = (change, now() + SETTLE * self.chance.random())
+        elif now() - self.open[1] >= SETTLE:
+            tell(240, change=change, decided=decided.change)
+            self.open = (-1, 0.0)
+            await self.proposer.safe(BALLOT)
+
     async def _catch_up(self, reports: Iterable[Report]) -> None:
         """Accept what is decided as others accepted it, as if its proposer had reached us."""
         kept, decided = self.acceptor.kept, self.acceptor.decided
--- a/irisdeal/mast/events.py
+++ b/irisdeal/mast/events.py
@@ -42,6 +42,7 @@
     227: (INFO, "a member that leaves has handed over"),
     228: (WARNING, "a member leaves though too few others are known to hold what it holds"),
     229: (WARNING, "a new first list was written by hand: what other disks alone held is given up"),
+    240: (WARNING, "what is accepted and not known as decided is ended by a ballot"),
     300: (INFO, "a backend is new"),
     301: (INFO, "a backend drains"),
     302: (INFO, "a backend is gone"),
--- a/tests/test_contact.py
+++ b/tests/test_contact.py
@@ -164,6 +164,61 @@
     assert not contact.is_held(Members(0, tuple(SEATS[1:4])), OWN, 10.0)  # ourselves a learner: 1 of 3
 
 
+EVENT = st.one_of(
+    st.tuples(st.just("accept"), st.integers(0, 4)),  # a seat accepts the newest change
+    st.tuples(st.just("begin"), st.just(0)),  # the next change is begun
+    st.tuples(st.just("ask"), st.integers(1, 4)),
+    st.tuples(st.just("answer"), st.integers(0, 9)),
+    st.tuples(st.just("come"), st.integers(0, 9)),  # an answer comes here, as it was made
+    st.tuples(st.just("learn"), st.just(0)),  # what is decided comes into force here
+)
+
+
+@settings(max_examples=400, deadline=None)
+@given(st.integers(1, 5), st.lists(EVENT, max_size=60))
+def test_all_that_was_decided_by_the_known_age_is_in_force(count: int, events: list[tuple[str, int]]) -> None:
+    """A register seen from outside: each change is accepted by seats one by one, decided once a majority has."""
+    members = Members(0, tuple(SEATS[:count]))
+    accepted, decided_at, newest, force = [0] * count, {0: 0.0}, 0, 0
+    asked: list[tuple[int, float]] = []
+    told: list[tuple[int, float, int]] = []  # seat, when it was asked, what it had accepted
+    contact, now = Contact(), 0.0
+    for what, number in events:
+        now += 0.1
+        match what:
+            case "begin" if newest in decided_at:
+                newest += 1
+            case "accept" if number < count:
+                accepted[number] = newest
+                if 2 * sum(change >= newest for change in accepted) > count:
+                    decided_at.setdefault(newest, now)
+            case "ask" if number < count:
+                asked.append((number, now))
+            case "answer" if asked:
+                seat_, sent = asked.pop(number % len(asked))
+                told.append((seat_, sent, accepted[seat_]))
+            case "come" if told:
+                seat_, sent, change = told.pop(number % len(told))
+                contact.heard(SEATS[seat_], sent, change)
+            case "learn":
+                force = max(decided_at)
+        age = contact.known_age(members, OWN, now, force, accepted[0])
+        assert all(change <= force for change, at in decided_at.items() if at <= now - age - 1e-9)
+        if age == 0 and count > 2:
+            assert any(sent == now for sent in contact.asked.values())
+
+
+def test_a_seat_that_accepted_more_than_is_in_force_here_counts_for_contact_and_not_for_knowledge() -> None:
+    contact = Contact()
+    contact.heard(SEATS[1], 10.0, 8)
+    assert contact.is_held(THREE, OWN, 10.1)
+    assert contact.known_age(THREE, OWN, 10.1, 7, 7) == float("inf")
+    assert contact.known_age(THREE, OWN, 10.1, 8, 7) == pytest.approx(0.1)
+    assert contact.known_age(THREE, OWN, 10.1, 8, 9) == float("inf")  # we accepted more ourselves
+    contact.heard(SEATS[2], 9.5, 7)
+    assert contact.known_age(THREE, OWN, 10.1, 7, 7) == pytest.approx(0.6)
+
+
 def test_what_is_remembered_is_bounded() -> None:
     contact = Contact()
     for number in range(3 * MOST_SEATS):
--- /dev/null
+++ b/tests/test_known_age.py
@@ -0,0 +1,138 @@
+"""What a store says of the age of its knowledge, against orders that were confirmed; in virtual time.
+
+An order is confirmed by one member and its word to the others is lost: the one that confirmed it is cut off.
+The others reach each other, so they have contact; but what one of them accepted and none has seen decided may be
+in force by the word of the operator.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from irisdeal.almanac.member import Member
+from irisdeal.almanac.register import Ballot, Outcome, Value
+from irisdeal.almanac.shelf import Have
+from irisdeal.almanac.word import Word
+from irisdeal.mast.settings import Settings, Tolerance
+from irisdeal.sim.machine import Core, Costs, Machine
+from irisdeal.sim.net import Way
+from irisdeal.sim.world import START, World
+from irisdeal.squall.disk import MemoryDisk
+from irisdeal.vane import sources
+from tests.core_rig import CutNetwork, zone_of
+
+SETTLED = 1.5  # s: two rounds, a ballot and the pause before it
+
+
+class Stores:
+    """Real members, without registries."""
+
+    def __init__(self, count: int, seed: int) -> None:
+        self.world = World(seed)
+        self.net = CutNetwork(self.world, Way(700, 300))
+        self.hosts = [f"10.{number}.0.1" for number in range(count)]
+        self.members: dict[str, Member] = {}
+        self.machines: dict[str, Machine] = {}
+        for host in self.hosts:
+            self._start(host)
+
+    def _start(self, host: str) -> None:
+        machine = self.machines[host] = Machine(self.world, self.net, host, Core(), Costs())
+        settings = Settings(
+            node_name=host, role="almanac", ip=host, zone=zone_of(host), port_range=(7000, 7010), bootstrap=True,
+            seed_peers=tuple(f"{seed}:8000" for seed in self.hosts[:3]), tolerance=Tolerance(1))
+
+        async def run() -> int:
+            member = self.members[host] = Member(settings, MemoryDisk())
+            await member.start()
+            await machine.create_future()
+            return 0
+
+        machine.start(run())
+
+    def at(self, seconds: float, act: Callable[[], None]) -> None:
+        self.world.at(START + round(seconds * 1e6), "test", act)
+
+    def on(self, host: str, act: Callable[[Member], Any], done: Callable[[Any], None]) -> None:
+        async def run() -> None:
+            done(await act(self.members[host]))
+
+        self.machines[host].call_soon(lambda: self.members[host].tasks.start(run()))
+
+    def cut(self, host: str, others: list[str]) -> None:
+        for other in others:
+            self.net.cuts |= {(host, other), (other, host)}
+
+    def play(self, until: float) -> None:
+        over: list[bool] = []
+        self.at(until, lambda: over.append(True))
+        self.world.run(lambda: bool(over), START + round((until + 1) * 1e6))
+
+
+WORD = Word.of("r7", b"seven")
+
+
+def confirmed_then_cut(stores: Stores, hears: int) -> dict[str, float]:
+    """At 3 s the first member confirms r7, which `hears` of the others accepted, and is cut off. When that was."""
+    first, *others = stores.hosts
+    when: dict[str, float] = {}
+
+    def prepare() -> None:
+        member = stores.members[first]
+
+        def announce(ballot: Ballot, value: Value) -> None:
+            stores.cut(first, others)
+            when["confirmed"] = stores.world.seconds()
+            member.learn(value, [])
+
+        member.proposer.learn = announce
+        kept = member.proposer._ask_accept
+
+        async def ask_accept(ballot: Any, seat: str, news: Any) -> None:
+            if seat.partition("/")[0] in [first, *others[:hears]]:  # what it sends to the others is lost
+                await kept(ballot, seat, news)
+
+        member.proposer._ask_accept = ask_accept  # type: ignore[method-assign]
+
+        def done(outcome: Any) -> None:
+            when["outcome"] = outcome
+
+        stores.on(first, lambda one: one.put(WORD), done)
+
+    stores.at(3.0, prepare)
+    return when
+
+
+@pytest.mark.parametrize("seed", range(1, 6))
+@pytest.mark.parametrize("count", [3, 4, 5])
+def test_what_a_store_says_of_its_age_is_true_and_what_was_confirmed_comes_into_force(
+        count: int, seed: int) -> None:
+    stores = Stores(count, seed)
+    rest = stores.hosts[1:]
+    when = confirmed_then_cut(stores, count // 2)
+    wrong: list[str] = []
+    told: dict[str, list[tuple[float, int]]] = {host: [] for host in rest}
+
+    def ask() -> None:
+        asked = stores.world.seconds()
+        for host in rest:
+            def hear(answer: list[Any], host: str = host, asked: float = asked) -> None:
+                value, age = Value.hear(answer[1]), answer[3]
+                told[host].append((stores.world.seconds(), value.stamp.number))
+                known_by = asked - age / 1000
+                if age >= 0 and value.stamp.number < 7 and known_by > when.get("confirmed", 99.0):
+                    wrong.append(f"{asked:.2f}: {host} tells r{value.stamp.number}, {age} ms old")
+
+            stores.on(host, lambda one: one.watch(Have(), -2), hear)
+
+    for number in range(400):
+        stores.at(2.0 + number * 0.02, ask)
+    stores.play(10.0)
+    assert when["outcome"] == Outcome.CONFIRMED and not wrong, wrong[:3]
+    for host in rest:
+        in_force = min(at for at, number in told[host] if number == 7)
+        assert in_force - when["confirmed"] <= SETTLED, host
+        assert in_force - when["confirmed"] + sources.MOST_PAUSE <= 2.5
