--- a/benchmarks/register_states.py
+++ b/benchmarks/register_states.py
@@ -10,9 +10,9 @@
 one way, are all of these: no step has to come. That an answer arrives at once or never leaves out nothing: a
 proposer that hears it later does what one does whose accepts are late.
 
-Rules: (0) a ballot proposes one value; (1) a ballot over one whose value was told as decided takes that one over, or one over it; (2) one body for
+Rules: (1) a ballot over one whose value was told as decided takes that one over, or one over it; (2) one body for
 each number, and one value for each change, are told as decided; (3) a read answers no less than what was told as
-decided before it began, and what it answers is decided from then on.
+decided before it began, and what it answers is decided from then on; (4) a ballot proposes one value.
 """
 
 from __future__ import annotations
@@ -160,15 +160,19 @@
     broken: str = ""
     way: list[str] = field(default_factory=list)
 
-    def run(self) -> Search:
+    def begin(self) -> State:
+        """The first state."""
         plan, number = self.plan, self.table.number
         first = Value.first(Members(0, plan.seats[:plan.first]))
         kept, empty = number(Kept(NO_BALLOT, NO_BALLOT, first)), number(Kept(NO_BALLOT, NO_BALLOT, UNKNOWN))
         seats = tuple(kept if index < plan.first else empty if index in plan.there else GONE
                       for index in range(len(plan.seats)))
         count = len(plan.programs)
-        start = State(seats, seats, (GONE,) * count, (0,) * count, (0,) * count, (number(first),) * count,
-                      frozenset(), frozenset(), plan.crashes, False, plan.reads, None)
+        return State(seats, seats, (GONE,) * count, (0,) * count, (0,) * count, (number(first),) * count,
+                     frozenset(), frozenset(), plan.crashes, False, plan.reads, None)
+
+    def run(self) -> Search:
+        start = self.begin()
         came: dict[State, tuple[State | None, str]] = {start: (None, "")}
         waiting = deque([(start, 0)])
         while waiting:
--- a/irisdeal/almanac/rounds.py
+++ b/irisdeal/almanac/rounds.py
@@ -82,6 +82,7 @@
         """A machine's word of itself, asked for or not."""
         self.heard.heard(report, now())
         self.peers.newest[report.ip] = report.decided.stamp
+        self.proposer.meet(report.accepted)
         self.learn(report.decided, [report.ip])
 
     async def ask(self, ip: str) -> Report | None:
@@ -108,7 +109,7 @@
         """All hear that we leave."""
         self.leaving = True
         for ip in self.others():
-            self.peers.tell(ip, "state", self.report().tell())
+            self.tasks.start(self.ask(ip))
 
     # Rounds
 
