--- a/tests/test_known_age.py
+++ b/tests/test_known_age.py
@@ -1,8 +1,8 @@
 """What a store says of the age of its knowledge, against orders that were confirmed; in virtual time.
 
 An order is confirmed by one member and its word to the others is lost: the one that confirmed it is cut off.
-The others reach each other, so they have contact; but what one of them accepted and none has seen decided may be
-in force by the word of the operator.
+The others reach each other, so they have contact; but what one of them accepted and none has seen decided may
+have been confirmed to the operator.
 """
 
 from __future__ import annotations
@@ -42,8 +42,8 @@
     def _start(self, host: str) -> None:
         machine = self.machines[host] = Machine(self.world, self.net, host, Core(), Costs())
         settings = Settings(
-            node_name=host, role="almanac", ip=host, zone=zone_of(host), port_range=(7000, 7010), bootstrap=True,
-            seed_peers=tuple(f"{seed}:8000" for seed in self.hosts[:3]), tolerance=Tolerance(1))
+            node_name=host, role="almanac", ip=host, zone=zone_of(host), port_range=(7000, 7010),
+            bootstrap=True, seed_peers=tuple(f"{seed}:8000" for seed in self.hosts[:3]), tolerance=Tolerance(1))
 
         async def run() -> int:
             member = self.members[host] = Member(settings, MemoryDisk())
@@ -76,7 +76,7 @@
 
 
 def confirmed_then_cut(stores: Stores, hears: int) -> dict[str, float]:
-    """At 3 s the first member confirms r7, which `hears` of the others accepted, and is cut off. When that was."""
+    """At 3 s the first member confirms r7, which `hears` of the others accepted, and is cut off. When it was."""
     first, *others = stores.hosts
     when: dict[str, float] = {}
 
