--- a/irisdeal/almanac/member.py
+++ b/irisdeal/almanac/member.py
@@ -1,33 +1,35 @@
-"""One member of the store: what it holds, what it hears of the others, and what it is told to keep.
+"""One machine of the store: it accepts and proposes, follows what is decided, and answers its callers.
 
-Every member is alike. A put is synced here and at the others, and acknowledged when a majority holds it. The
-members tell each other what they hold once in a while and fetch what is larger: that is all the mending.
+Every machine is alike.
 """
 
 from __future__ import annotations
 
 import asyncio
-from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
-from returns.result import Success
-
-from irisdeal.almanac.files import Files
-from irisdeal.almanac.folder import DiskFolder, Folder
-from irisdeal.almanac.quorum import Report, is_held, majority, may_vote, newest
+from irisdeal.almanac.acceptor import Acceptor
+from irisdeal.almanac.folder import Folder
+from irisdeal.almanac.members import Members
+from irisdeal.almanac.peers import Peers, now
+from irisdeal.almanac.proposer import Proposer
+from irisdeal.almanac.register import UNKNOWN, Ballot, Outcome, Value
+from irisdeal.almanac.report import Report, read_from
+from irisdeal.almanac.rounds import Rounds
+from irisdeal.almanac.shelf import Have
+from irisdeal.almanac.succession import may_go
 from irisdeal.almanac.word import NOTHING, Stamp, Word
 from irisdeal.mast import places
-from irisdeal.mast.events import invariant, tell
+from irisdeal.mast.events import tell
 from irisdeal.mast.process import Tasks
 from irisdeal.mast.settings import Settings
-from irisdeal.telegraph.link import Link, Server
+from irisdeal.telegraph.link import Server
 
-ROUND = 0.5  # s between two looks at the others; a word that was missed is here within two of them
-ANSWER = 0.35  # s for a short answer of another member: hundreds of times the way there and back
-PUT = 0.85  # s for a put: the operator goes elsewhere after a second of silence
-SYNCING = 2.5  # s for another member's disk, when it is in trouble
+PUT = 0.85  # s for an order: the operator goes elsewhere after a second of silence
+READ = 0.85  # s, likewise
 HOLD = 1.0  # s that a watch may be held without news
-FRESH = 2.0  # s: a report that is older does not count for a read
+PARTING = 0.15  # s in which all hear that we leave
+HANDOVER = 1.5  # s at most that we wait until others hold what we hold, well inside any time to end
 
 
 class Member:
@@ -36,224 +38,178 @@
     def __init__(self, settings: Settings, folder: Folder | None = None) -> None:
         """`folder`: in place of the one that the settings name."""
         self.settings, self.ip = settings, settings.ip
-        self.files = Files(folder or DiskFolder(settings.data_path or "almanac-data"))
-        self.disk = ThreadPoolExecutor(1, "disk") if folder is None else None
-        self.writing = asyncio.Lock()
-        self.held: Word | None = None
-        self.votes = False
-        self.roster: frozenset[str] = frozenset()
-        self.kept_roster: frozenset[str] | None = None
-        self.links: dict[str, Link] = {}
-        self.reports: dict[str, tuple[float, Report]] = {}
-        self.news = asyncio.Event()
         self.tasks = Tasks()
+        self.acceptor = Acceptor(self.ip, settings.data_path or "almanac-data", folder, self.tasks)
+        self.peers = Peers(settings, self.acceptor, self.tasks)
+        self.proposer = Proposer(self.acceptor, self.peers, self.tasks, self.announce,
+                                 settings.config_source != "highest")
+        self.rounds = Rounds(settings, self.acceptor, self.peers, self.proposer, self.tasks, self.learn)
+        self.force = UNKNOWN  # the newest decided value whose body is here
+        self.taking: asyncio.Task[None] | None = None
+        self.news = asyncio.Event()
         self.server = Server(self.handle)
 
     # What a process does
 
     async def start(self) -> None:
-        self.held, kept = await self._on_disk(self.files.open)
-        seeds = frozenset(places.seeds(self.settings)) | {self.ip}
-        self.kept_roster = kept
-        self.roster = (kept or frozenset()) | seeds
-        self.votes = kept is not None or self.settings.bootstrap
-        if self.votes:
-            await self._keep_roster()
-        else:
-            tell(206, ip=self.ip)
+        first = Value.first(Members.first(places.seeds(self.settings)))
+        await self.acceptor.open(first if self.settings.bootstrap else None)
+        if self.acceptor.decided == UNKNOWN:
+            tell(206, seat=self.acceptor.seat)
+        self._enforce()
         await self.server.listen((self.ip, places.port(self.settings, places.ALMANAC)))
-        self.tasks.start(self._rounds())
+        self.tasks.start(self.rounds.run())
 
     async def stop(self) -> None:
+        self.rounds.tell_leaving()
+        until = now() + HANDOVER
+        await asyncio.sleep(PARTING)
+        while not self._may_go() and now() < until:
+            await asyncio.sleep(PARTING)
+        tell(227 if self._may_go() else 228, seat=self.acceptor.seat)
         self.tasks.cancel()
         self.server.close()
+        self.peers.close()
 
-    def reload(self, settings: Settings) -> None:
-        self.settings = settings
-        self._meet(frozenset(places.seeds(settings)))
-
-    async def _on_disk(self, act: Any, *given: Any) -> Any:
-        return await asyncio.get_running_loop().run_in_executor(self.disk, act, *given)
-
-    # What it holds
-
-    def report(self) -> Report:
-        return Report(self.ip, self.held.stamp if self.held else NOTHING, self.votes, self.roster)
-
-    async def keep(self, word: Word) -> bool:
-        """Hold this word, synced, or a larger one; False where the disk refuses."""
-        if not invariant(word.is_whole(), "a word is kept whole", number=word.stamp.number):
-            return False
-        async with self.writing:
-            if self.held is not None and self.held.stamp >= word.stamp:
-                return True
-            try:
-                await self._on_disk(self.files.keep, word)
-            except OSError as error:
-                tell(203, error=error)
-                return False
-            self.held = word
-        tell(200, generation=f"r{word.stamp.number}", bytes=len(word.body))
-        self._wake()
-        return True
-
-    async def _keep_roster(self) -> None:
-        async with self.writing:
-            wanted = self.roster
-            if wanted != self.kept_roster:
-                try:
-                    await self._on_disk(self.files.keep_roster, wanted)
-                except OSError as error:
-                    return tell(203, error=error)
-                self.kept_roster = wanted
-
-    def _wake(self) -> None:
-        self.news.set()
-        self.news = asyncio.Event()
-
-    def _meet(self, members: frozenset[str]) -> None:
-        if not members <= self.roster:
-            self.roster |= members
-            tell(207, members=len(self.roster))
-            self._wake()
-            if self.votes:
-                self.tasks.start(self._keep_roster())
-
-    # The others
-
-    def _link(self, ip: str) -> Link:
-        if ip not in self.links:
-            self.links[ip] = Link(places.at(self.settings, ip, places.ALMANAC), f"almanac {self.ip}")
-        return self.links[ip]
+    def _may_go(self) -> bool:
+        heard = self.rounds.heard
+        return not self.proposer.turn.locked() and may_go(
+            self.acceptor.decided, heard.reports, self.acceptor.seat, now(), heard.since)
 
-    def others(self) -> list[str]:
-        return sorted(self.roster - {self.ip})
-
-    def _heard(self, body: Any) -> Report:
-        """A member's report of itself, as of now."""
-        ip, number, digest, votes, roster = body
-        report = Report(str(ip), Stamp(int(number), bytes(digest)), bool(votes), frozenset(map(str, roster)))
-        self.reports[report.ip] = (asyncio.get_running_loop().time(), report)
-        self._meet(report.roster | {report.ip})
-        return report
-
-    def _say(self) -> list[Any]:
-        own = self.report()
-        return [own.ip, own.stamp.number, own.stamp.digest, own.votes, sorted(own.roster)]
-
-    async def _ask(self, ip: str) -> Report | None:
-        answer = await self._link(ip).call("state", self._say(), ANSWER)
-        return self._heard(answer.unwrap()) if isinstance(answer, Success) else None
-
-    async def _round(self) -> list[Report]:
-        """Ask all the others, take over what is larger; who answered."""
-        heard = [report for report in await asyncio.gather(*map(self._ask, self.others())) if report]
-        await self._catch_up(heard)
-        if not self.votes and may_vote(self.report(), heard, self.roster):
-            self.votes = True
-            tell(205, heard=len(heard))
-            await self._keep_roster()
-        return heard
-
-    async def _catch_up(self, heard: list[Report]) -> None:
-        for report in sorted(heard, key=lambda report: report.stamp, reverse=True):
-            if (self.held is not None and report.stamp <= self.held.stamp) or report.stamp == NOTHING:
-                return
-            answer = await self._link(report.ip).call("fetch", None, ANSWER)
-            if isinstance(answer, Success) and answer.unwrap() is not None:
-                number, digest, body = answer.unwrap()
-                if await self.keep(Word(Stamp(number, digest), body)):
-                    return
-
-    async def _rounds(self) -> None:
-        while True:
-            await self._round()
-            await asyncio.sleep(ROUND if self.votes else ROUND / 4)
-
-    def in_touch(self) -> bool:
-        """Whether a majority of the roster, this one counted, was heard of late."""
-        since = asyncio.get_running_loop().time() - FRESH
-        heard = {ip for ip, (at, _) in self.reports.items() if at >= since and ip in self.roster}
-        return len(heard | {self.ip}) >= majority(self.roster)
+    def reload(self, settings: Settings) -> None:
+        self.settings = self.rounds.settings = settings
+
+    # What is decided
+
+    def learn(self, value: Value, ips: list[str]) -> None:
+        """This value is decided; its body is at these machines."""
+        before = self.rounds.members
+        if not self.acceptor.learn(value):
+            return
+        members = value.members
+        tell(209, change=value.change, generation=f"r{value.stamp.number}", list=members.number)
+        if members != before:
+            tell(220 if members.former else 221, list=members.number, seats=" ".join(members.seats))
+        self.proposer.decided()
+        self._enforce()
+        if self.force != value and (self.taking is None or self.taking.done()):
+            self.taking = self.tasks.start(self._take_over(ips))
+
+    def announce(self, ballot: Ballot, value: Value) -> None:
+        """We decided this: all hear of it."""
+        self.learn(value, [])
+        for ip in self.rounds.others():
+            self.peers.tell(ip, "decided", [ballot.tell(), value.tell()])
+
+    async def _take_over(self, ips: list[str]) -> None:
+        """The body of what is decided, of the newest where there are several by then."""
+        while self.force.change < self.acceptor.decided.change:
+            value = self.acceptor.decided
+            held = [heard.report.ip for heard in self.rounds.heard.reports.values()
+                    if heard.report.holds and heard.report.decided.stamp == value.stamp]
+            if await self.peers.body(value.stamp, [*dict.fromkeys([*ips, *held, *sorted(value.members.ips())])]):
+                self._enforce()
+            else:
+                await asyncio.sleep(PARTING)
+
+    def _enforce(self) -> None:
+        """What is decided is in force here once its body is here."""
+        decided = self.acceptor.decided
+        if decided.change > self.force.change and self.acceptor.holds(decided.stamp):
+            self.force = decided
+            tell(205, change=decided.change)
+            self.news.set()
+            self.news = asyncio.Event()
 
     # Calls
 
     async def handle(self, peer: str, kind: str, body: Any) -> Any:
         match kind:
             case "state":
-                self._heard(body)
-                return self._say()
-            case "keep":
-                number, digest, text, said = body
-                self._heard(said)
-                kept = await self.keep(Word(Stamp(number, digest), text))
-                return [kept, self._say()]
+                if body is not None:  # else it is asked by somebody who is no part of the core
+                    self.rounds.hear(Report.hear(body))
+                return self.rounds.report().tell()
+            case "prepare" | "accept":
+                return await self._vote(*body)
+            case "bring":
+                return await self.peers.brought(peer, body)
             case "fetch":
-                return [self.held.stamp.number, self.held.stamp.digest, self.held.body] if self.held else None
+                return self.peers.fetched(*body)
+            case "decided":
+                return self.learn(Value.hear(body[1]), [peer.rpartition(" ")[2]])
             case "put":
-                return await self.put(Word(Stamp(body[0], body[1]), body[2]))
+                return int(await self.put(Word(Stamp(body[0], bytes(body[1])), bytes(body[2]))))
             case "read":
                 return await self.read()
             case "watch":
-                return await self.watch(*body)
+                return await self.watch(Have.hear(body[0]), int(body[1]))
         raise ValueError(f"no call {kind!r}")
 
-    async def put(self, word: Word) -> bool:
-        """Whether a majority holds this word or a larger one, synced. It may come to hold it after a False."""
-        sent = [word.stamp.number, word.stamp.digest, word.body, self._say()]
-        holders: set[str] = set()
-        enough = asyncio.Event()
-
-        def holds(ip: str) -> None:
-            holders.add(ip)
-            if len(holders & self.roster) >= majority(self.roster):
-                enough.set()
-
-        async def here() -> None:
-            if await self.keep(word):
-                holds(self.ip)
-
-        async def there(ip: str) -> None:
-            answer = await self._link(ip).call("keep", sent, SYNCING)
-            if isinstance(answer, Success):
-                kept, said = answer.unwrap()
-                if kept and self._heard(said).stamp >= word.stamp:
-                    holds(ip)
-
-        self.tasks.start(here())
-        for ip in self.others():
-            self.tasks.start(there(ip))
+    async def _vote(self, seat: str, ballot: list[Any], value: list[Any] | None = None) -> Any:
+        """A promise, or with a value an accept. None where this is not that seat's disk, or the disk refuses."""
+        if seat != self.acceptor.seat:
+            return None
         try:
-            async with asyncio.timeout(PUT):
-                await enough.wait()
-        except TimeoutError:
-            tell(202, generation=f"r{word.stamp.number}", holders=len(holders), roster=len(self.roster))
-            return False
-        now = [Report(ip, word.stamp, True, self.roster) for ip in holders]
-        return invariant(is_held(word.stamp, now, self.roster), "acknowledged is held by a majority")
+            if value is None:
+                good, kept = await self.acceptor.prepare(Ballot.hear(ballot))
+                return [good, kept.tell()]
+            given = await self.acceptor.accept(Ballot.hear(ballot), Value.hear(value))
+        except OSError:
+            return None
+        return [given[0], given[1].tell()] if given else [None, Have(self.acceptor.decided.stamp).tell()]
+
+    def has_contact(self) -> bool:
+        return self.rounds.has_contact()
+
+    async def put(self, word: Word) -> Outcome:
+        """What became of an order. It may come to be decided after a LATER."""
+        if not self.has_contact():
+            tell(213, call="put", generation=f"r{word.stamp.number}")
+            return Outcome.LATER
+        return await self.proposer.put(word, PUT)
 
     async def read(self) -> list[Any]:
-        """[known, body]: the newest word there is; known is False where too few were heard to say."""
-        heard = await self._round()
-        stamp = newest([*heard, self.report()], self.roster)
-        if stamp is None or (self.held is None) != (stamp == NOTHING):
+        """`[known, body]`: what is decided now, body None where nothing is; not known without a quorum."""
+        if not self.has_contact():
+            tell(213, call="read")
             return [False, None]
-        if self.held is not None and self.held.stamp < stamp:
+        until = now() + READ
+        value = await self._heard_value() or await self.proposer.safe(until - now())
+        if value is None:
             return [False, None]
-        return [True, self.held.body if self.held else None]
-
-    async def watch(self, number: int, digest: bytes, members: int) -> list[Any]:
-        """What has changed against what the caller has: [word or None, roster, in touch], soon or in HOLD s."""
-        have = Stamp(number, digest)
-        if not self._has_news(have, members):
+        self.learn(value, [])
+        if value.stamp == NOTHING:
+            return [True, None]
+        word = await self.peers.body(value.stamp, sorted(value.members.ips()))
+        return [word is not None, word.body if word is not None else None]
+
+    async def _heard_value(self) -> Value | None:
+        """What a quorum shows to be decided, asked now; None where a ballot is needed."""
+        known = self.rounds.members
+        asks = [self.tasks.start(self.rounds.ask(ip)) for ip in sorted(known.ips() - {self.ip})]
+        reports = [self.rounds.report()]
+        value = read_from(reports, known)
+        for answer in asyncio.as_completed(asks):
+            if value is not None:
+                break
+            report = await answer
+            reports += [report] if report is not None else []
+            value = read_from(reports, known)
+        return value
+
+    async def watch(self, have: Have, change: int) -> list[Any]:
+        """`[parcel or None, value in force, learners, age in ms of our contact or -1]`, soon or in HOLD s.
+
+        A caller that knows more than we do has no news from us.
+        """
+        if self.force.change < change or (have.stamp, change) == (self.force.stamp, self.force.change):
             try:
                 async with asyncio.timeout(HOLD):
                     await self.news.wait()
             except TimeoutError:
                 pass
-        word = self.held if self.held is not None and self.held.stamp != have else None
-        told = [word.stamp.number, word.stamp.digest, word.body] if word else None
-        return [told, sorted(self.roster), self.in_touch()]
-
-    def _has_news(self, have: Stamp, members: int) -> bool:
-        return (self.held is not None and self.held.stamp != have) or len(self.roster) != members
+        force, parcel = self.force, None
+        if force.change >= change and force.stamp not in (have.stamp, NOTHING):
+            parcel = self.peers.fetched(have.tell(), force.stamp.number, force.stamp.digest)
+        age = self.rounds.age() if self.has_contact() else -1.0
+        return [parcel, force.tell(), self.rounds.learners(), int(age * 1000) if age >= 0 else -1]
