The server answers what came whole, in order, before it closes

A 100 to a later request went out before the answers to earlier ones; a malformed request, or the end of the process, left whole requests before it without an answer; a body that took longer than the idle time was cut; a client that had ended its half kept the connection for 15 s.

--- a/irisdeal/http1/server.py
+++ b/irisdeal/http1/server.py
@@ -60,7 +60,7 @@
         self.transport: asyncio.Transport | None = None
         self.waiting: deque[Request] = deque()
         self.at_work: Request | None = None
-        self.ending = self.paused = self.reading = False
+        self.ending = self.paused = self.reading = self.expects = False
         self.since = self.loop.time()  # since when it is idle, or its request is coming
         self._fresh()
 
@@ -68,6 +68,7 @@
         self.url, self.headers, self.parts = b"", cast(Headers, []), cast(list[bytes], [])
         self.size, self.body_size, self.in_trailer = 0, 0, False
         self.framed: bytes | None = None
+        self.expects = False  # its client waits for a 100 before it sends the body
 
     # The transport's calls
 
@@ -100,7 +101,15 @@
             self.transport.pause_reading()
 
     def eof_received(self) -> bool:
-        return self.at_work is not None or bool(self.waiting)
+        """Nothing more comes: what came whole is answered, the last answer ends the connection."""
+        last = self._last()
+        if last is not None:
+            self.ending, last.keep = True, False
+        return last is not None
+
+    def _last(self) -> Request | None:
+        """The newest request that is owed an answer."""
+        return self.waiting[-1] if self.waiting else self.at_work
 
     # The parser's calls
 
@@ -127,8 +136,8 @@
                     raise Malformed(400, "odd framing")
                 if int(value) > self.server.bounds.body:
                     raise Malformed(413, f"body over {self.server.bounds.body} bytes")
-        elif key == b"expect" and value.lower() == b"100-continue" and self.transport is not None:
-            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        elif key == b"expect" and value.lower() == b"100-continue":
+            self.expects = True
         self.headers.append((name, value))
 
     def _grow(self, size: int) -> None:
@@ -141,9 +150,17 @@
         assert self.parser is not None
         if self.framed == b"transfer-encoding" and self.parser.get_http_version() == "1.0":
             raise Malformed(400, "odd framing")  # RFC 9112, 6.1
+        self._encourage()
+
+    def _encourage(self) -> None:
+        """A 100 to a client that waits for it, not before the answers to its earlier requests are out."""
+        its_turn = self.reading and self.in_trailer and self._last() is None
+        if self.expects and its_turn and self.transport is not None:
+            self.expects = False
+            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
-        self.body_size += len(body)
+        self.body_size, self.since = self.body_size + len(body), self.loop.time()
         if self.body_size > self.server.bounds.body:
             raise Malformed(413, f"body over {self.server.bounds.body} bytes")
         self.parts.append(body)
@@ -179,13 +196,14 @@
     def _reply(self, request: Request, answer: Answer) -> None:
         if self.transport is None:
             return
-        close = answer.close or not request.keep or self.server.leaving
+        close = answer.close or not request.keep or (self.server.leaving and not self.waiting)
         body = b"" if request.bodiless or answer.status in (204, 304) else answer.body
         self.transport.write(head(answer.status, answer.headers, len(answer.body), close) + body)
         self.since = self.loop.time()
         if close:
             return self._end()
         self._next()
+        self._encourage()
         if self.paused and len(self.waiting) < MOST_PIPELINED:
             self.paused = False
             self.transport.resume_reading()
@@ -199,9 +217,8 @@
             text = fault.text.encode() + b"\n"
             self.transport.write(head(fault.status, [], len(text), True) + text)
             self._end()
-        else:
-            self.waiting.clear()
-            self.at_work.keep = False
+        elif (last := self._last()) is not None:
+            last.keep = False
 
     def _end(self) -> None:
         """The last answer is out: read on for a moment, since closing with unread bytes resets."""
--- /dev/null
+++ b/tests/test_http1_server.py
@@ -0,0 +1,155 @@
+"""The server side of HTTP/1.1: answers in the order of asking, whatever a client does. Time is virtual."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from irisdeal.http1.server import Answer, HttpServer, Request
+from irisdeal.sim.machine import Core, Costs, Machine
+from irisdeal.sim.net import Network
+from irisdeal.sim.world import START, World
+
+ADDRESS = ("10.0.0.2", 80)
+BODIED = b"POST /%d HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"
+EXPECTING = b"POST /%d HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n"
+Step = bytes | float | str  # write, wait for s, or `eof`, `abort`
+
+
+class Play:
+    """One client's steps against a server whose requests take 0.2 s, all but `/0`."""
+
+    def __init__(
+        self, steps: list[Step], prepare: Callable[[HttpServer], None] = lambda server: None,
+    ) -> None:
+        self.world = World(1)
+        self.net = Network(self.world)
+        self.steps, self.prepare = steps, prepare
+        self.heard = b""
+        self.ran: list[bytes] = []
+        self.ended_at = 0.0
+        self.over = False
+
+    async def handle(self, request: Request) -> Answer:
+        self.ran.append(request.target)
+        await asyncio.sleep(0.0 if request.target == b"/0" else 0.2)
+        return Answer(200, b"did " + request.target)
+
+    async def serve(self) -> int:
+        loop = asyncio.get_running_loop()
+        self.server = HttpServer(self.handle, loop)
+        self.prepare(self.server)
+        await self.server.listen(ADDRESS)
+        await loop.create_future()
+        return 0
+
+    async def ask(self) -> int:
+        play, loop = self, asyncio.get_running_loop()
+
+        class Client(asyncio.Protocol):
+            def data_received(self, data: bytes) -> None:
+                play.heard += data
+
+            def connection_lost(self, exc: Exception | None) -> None:
+                play.ended_at = loop.time() - START / 1e6
+
+        await asyncio.sleep(0.1)
+        transport, _ = await loop.create_connection(Client, *ADDRESS)
+        for step in self.steps:
+            match step:
+                case bytes():
+                    transport.write(step)
+                case "eof":
+                    transport.write_eof()
+                case "abort":
+                    transport.abort()
+                case float():
+                    await asyncio.sleep(step)
+        await asyncio.sleep(4.0)
+        self.over = True
+        return 0
+
+    def play(self) -> list[bytes]:
+        """First lines and bodies, in order."""
+        server = Machine(self.world, self.net, "server", Core(), Costs())
+        client = Machine(self.world, self.net, "client", Core(), Costs())
+        server.start(self.serve())
+        client.start(self.ask())
+        self.world.run(lambda: self.over, START + 60_000_000)
+        assert not server.errors and not client.errors
+        return [line for line in self.heard.split(b"\r\n") if line.startswith((b"HTTP/1.1 ", b"did "))]
+
+
+def answers(*targets: int) -> list[bytes]:
+    """What they look like where each body is followed by the next head."""
+    lines: list[bytes] = [b"HTTP/1.1 200 OK"]
+    for target in targets[:-1]:
+        lines.append(b"did /%dHTTP/1.1 200 OK" % target)
+    return [*lines, b"did /%d" % targets[-1]]
+
+
+def test_answers_go_out_in_the_order_of_asking_however_long_each_takes() -> None:
+    play = Play([BODIED % 1 + BODIED % 0 + (BODIED % 2)[:20], 0.05, (BODIED % 2)[20:]])
+    assert play.play() == answers(1, 0, 2)
+
+
+def test_a_client_is_encouraged_when_its_earlier_requests_are_answered_and_not_before() -> None:
+    play = Play([BODIED % 1 + EXPECTING % 2, 0.5, b"body"])
+    assert play.play() == [b"HTTP/1.1 200 OK", b"did /1HTTP/1.1 100 Continue", b"HTTP/1.1 200 OK", b"did /2"]
+    alone = Play([EXPECTING % 0, 0.1, b"body"])
+    assert alone.play() == [b"HTTP/1.1 100 Continue", b"HTTP/1.1 200 OK", b"did /0"]
+
+
+def test_who_does_not_wait_for_the_encouragement_gets_none_out_of_order() -> None:
+    assert Play([BODIED % 1 + EXPECTING % 2 + b"body"]).play() == answers(1, 2)
+
+
+def test_a_body_that_is_refused_by_its_head_is_not_encouraged() -> None:
+    def small(server: HttpServer) -> None:
+        server.bounds.body = 3
+
+    assert Play([EXPECTING % 1], small).play() == [b"HTTP/1.1 413 Request Entity Too Large"]
+
+
+def test_what_came_whole_before_a_malformed_one_is_answered() -> None:
+    play = Play([BODIED % 1 + BODIED % 2 + b"\x00\r\n\r\n"])
+    assert play.play() == answers(1, 2) and play.ended_at > 0
+
+
+def test_what_came_whole_before_the_end_of_a_process_is_answered() -> None:
+    def leave(server: HttpServer) -> None:
+        server.loop.call_later(0.15, setattr, server, "leaving", True)
+
+    play = Play([BODIED % 1 + BODIED % 2, 0.05], leave)
+    assert play.play() == answers(1, 2)
+    assert play.heard.count(b"Connection: close") == 1
+
+
+def test_a_client_that_sends_no_more_has_its_answers_and_the_connection_ends() -> None:
+    play = Play([BODIED % 1 + BODIED % 2 + (BODIED % 3)[:30], "eof"])
+    assert play.play() == answers(1, 2) and 0 < play.ended_at < 2.0 and len(play.ran) == 2
+
+
+def test_for_a_client_that_left_nothing_of_what_waits_is_begun_once_that_shows() -> None:
+    """Its end alone may be half of one, and it may want its answers: the first not taken shows it."""
+    play = Play([BODIED % 1 + BODIED % 2 + BODIED % 3, 0.05, "abort"])
+    assert play.play() == [] and play.ran == [b"/1", b"/2"]
+
+
+def test_a_body_that_comes_slowly_is_not_idle() -> None:
+    def brief(server: HttpServer) -> None:
+        server.bounds.idle_time = 1.5
+
+    pieces: list[Step] = [(BODIED % 0)[:-4]]
+    for byte in b"body":
+        pieces += [1.0, bytes([byte])]
+    assert Play(pieces, brief).play() == answers(0)
+
+
+def test_a_request_that_stops_midway_runs_nowhere() -> None:
+    def brief(server: HttpServer) -> None:
+        server.bounds.idle_time = 1.5
+
+    play: Any = Play([(BODIED % 1)[:-1]], brief)
+    assert play.play() == [] and play.ran == [] and play.ended_at > 0
