An attempt: no status that promises without the backend's word, nothing behind its time

A promise without an id on a kept connection may be an earlier one come twice; the same id over the same connection would let one that comes twice free the second attempt. A door that had stood still wrote to a connection at rest behind the attempt's time.

--- a/irisdeal/vane/backends.py
+++ b/irisdeal/vane/backends.py
@@ -4,6 +4,10 @@
 `UNSENT`: no byte of the request has been written; it may go anywhere. `PROMISE`: the backend says that it did
 not run it (`X-Irisdeal-Not-Executed`, 421). `ANSWER`: a whole answer to this very request. `LOST`: all else; it
 may have run.
+
+An answer is matched by its connection, one request at a time, and by the attempt's id. A connection on which an
+attempt ended in any other way than by a whole answer is never used again; nor is one for the same id once more,
+as an answer that comes twice would be taken for the second's.
 """
 
 from __future__ import annotations
@@ -28,6 +32,7 @@
 IDLE_MUTATING = 0.65  # of that again, for what may run only once: a reset would cost its answer
 MOST_BODY = 64 << 20  # bytes of an answer
 MOST_HEAD = 32768
+PROMISES = (408, 429, 503)  # to a client these say that it has not run: the backend's own word for it is wanted
 MOST_RESTING = 32  # connections of one backend
 USER_TIMEOUT = 3000  # ms that written bytes may stay unacknowledged
 USER_TIMEOUT_AGAIN = 800  # ms likewise, where the request may be sent elsewhere
@@ -65,7 +70,8 @@
         self.parser = httptools.HttpResponseParser(self)
         self.done: asyncio.Future[Outcome] | None = None
         self.id = b""
-        self.written = self.dead = self.bodiless = self.whole = False
+        self.dead = self.bodiless = self.whole = False
+        self.used = 0  # requests that were written
         self.mutating = True  # as its time-outs are set
         self.idle_since, self.idle_most = 0.0, IDLE
         self._fresh()
@@ -88,7 +94,7 @@
         self.done = asyncio.get_running_loop().create_future()
         self.id, self.bodiless = id_, bodiless
         self._fresh()
-        self.written = True
+        self.used += 1
         self.transport.write(message)
         return self.done
 
@@ -132,6 +138,7 @@
 
     def data_received(self, data: bytes) -> None:
         if self.done is None:  # bytes that belong to no request
+            tell(512, backend=self.backend.id, last=self.id, bytes=len(data))
             return self.drop()
         try:
             self.parser.feed_data(data)
@@ -152,6 +159,8 @@
         if id_ is not None and id_ != self.id:
             tell(404, backend=self.backend.id, wanted=self.id, came=id_)
             return self._finish(Outcome(End.LOST, "an answer to another request"), keep=False)
+        if id_ is None and self.used > 1:  # an earlier request's, come twice, would look alike
+            return self._finish(Outcome(End.LOST, f"an answer {status} without an id"), keep=False)
         if b"x-irisdeal-not-executed" in named or status == 421:
             return self._finish(Outcome(
                 End.PROMISE, f"turned away with {status}", status, retry=named.get(b"retry-after", b""),
@@ -162,6 +171,8 @@
             return self._finish(Outcome(End.LOST, "an encoding nobody asked for"), keep=False)
         if 200 <= status < 300 and b"x-irisdeal-backend-seal" not in named:
             return self._finish(Outcome(End.LOST, "a success without a seal"), keep=False)
+        if status in PROMISES:
+            return self._finish(Outcome(End.LOST, f"{status} without a word that it has not run"), keep)
         headers = [field for field in self.headers if field[0].lower() not in HOP]
         self._finish(Outcome(End.ANSWER, "", status, headers, b"".join(self.parts)), keep)
 
@@ -225,8 +236,10 @@
     async def send(
         self, backend: Backend, message: bytes, id_: bytes, bodiless: bool, mutating: bool, until: float,
     ) -> Outcome:
-        """One attempt, which ends by `until` (s on the loop's clock) at the latest."""
-        connection = self._rested(backend, mutating)
+        """One attempt, which ends by `until` (s on the loop's clock); nothing is written behind it."""
+        if self.loop.time() >= until:  # we stood still: its place and its token were given for a time that is over
+            return Outcome(End.UNSENT, "its time is over")
+        connection = self._rested(backend, mutating, id_)
         if connection is None:
             if len(self.all) >= self.most and not self._make_room():
                 return Outcome(End.UNSENT, "no connection to be had")
@@ -257,7 +270,8 @@
             if not connection.dead:
                 self._rest(connection)
 
-    def _rested(self, backend: Backend, mutating: bool) -> Connection | None:
+    def _rested(self, backend: Backend, mutating: bool, id_: bytes = b"") -> Connection | None:
+        """The connection that rested least, where it may be used for this attempt."""
         resting, now = self.resting.get(backend.id, []), self.loop.time()
         while resting:
             connection = resting.pop()
@@ -271,7 +285,7 @@
                     resting.append(connection)
                     return None
                 continue
-            if has_bytes(connection.file):
+            if has_bytes(connection.file) or (id_ and connection.id == id_):
                 connection.drop()
                 continue
             backend.resting = len(resting)
--- a/tests/test_vane_backends.py
+++ b/tests/test_vane_backends.py
@@ -112,6 +112,77 @@
     assert outcome is not None and outcome.end is End.LOST
 
 
+def second(first: bytes, then: bytes, id_: bytes = b"b2") -> Outcome:
+    """The outcome of another request on a connection that was kept."""
+
+    async def play() -> Outcome:
+        pool = Pool(asyncio.get_running_loop(), 8)
+        connection = Connection(pool, Backend("i", "s", ("127.0.0.1", 1), "z", 0, 2, 0.0))
+        connection.connection_made(Wire())  # type: ignore[arg-type]
+        connection.start(b"GET / HTTP/1.1\r\n\r\n", b"a1", False, True)
+        connection.data_received(first)
+        assert not connection.dead
+        done = connection.start(b"GET / HTTP/1.1\r\n\r\n", id_, False, True)
+        connection.data_received(then)
+        return done.result()
+
+    return asyncio.run(play())
+
+
+FULL = b"HTTP/1.1 503 Full\r\nX-Irisdeal-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+
+
+def test_a_promise_without_an_id_frees_only_the_first_request_of_a_connection() -> None:
+    """On a kept one it may be an earlier answer that comes twice."""
+    outcome, _ = played([FULL])
+    assert outcome is not None and outcome.end is End.PROMISE
+    assert second(WHOLE, FULL).end is End.LOST
+
+
+def test_an_earlier_answer_that_comes_twice_answers_no_later_request() -> None:
+    assert second(WHOLE, WHOLE).end is End.LOST
+    assert second(WHOLE, OTHER).end is End.ANSWER
+
+
+@pytest.mark.parametrize("status", [408, 429, 503])
+def test_a_status_that_promises_is_none_without_the_backends_word_for_it(status: int) -> None:
+    outcome, _ = played([WHOLE.replace(b"200 OK", b"%d X" % status).replace(SEAL, b"")])
+    assert outcome is not None and outcome.end is End.LOST
+    outcome, _ = played([WHOLE.replace(b"200 OK", b"500 X").replace(SEAL, b"")])
+    assert outcome is not None and outcome.end is End.ANSWER
+
+
+def _kept(monkeypatch: pytest.MonkeyPatch, id_: bytes, left: float) -> tuple[Outcome, Wire]:
+    """The outcome of a request for which a connection rests, and what was written to that one."""
+    monkeypatch.setattr(backends, "has_bytes", lambda _: False)
+
+    async def play() -> tuple[Outcome, Wire]:
+        loop = asyncio.get_running_loop()
+        pool, backend, wire = Pool(loop, 8), Backend("i", "s", ("127.0.0.1", 1), "z", 0, 2, 0.0), Wire()
+        connection = Connection(pool, backend)
+        connection.connection_made(wire)  # type: ignore[arg-type]
+        connection.start(b"POST / HTTP/1.1\r\n\r\n", b"a1", False, True)
+        connection.data_received(FULL)
+        pool._rest(connection)
+        wire.written.clear()
+        until = loop.time() + left
+        return await pool.send(backend, b"POST / HTTP/1.1\r\n\r\n", id_, False, True, until), wire
+
+    return asyncio.run(play())
+
+
+def test_the_same_request_never_goes_over_the_same_connection_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A promise that comes twice would free the second attempt, which runs."""
+    outcome, wire = _kept(monkeypatch, b"a1", 0.05)
+    assert outcome.end is End.UNSENT and wire.ended and not wire.written
+
+
+def test_nothing_is_written_behind_its_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A process that stood still with a place in its hand sends nothing for it."""
+    outcome, wire = _kept(monkeypatch, b"b2", -0.5)
+    assert outcome.end is End.UNSENT and not wire.written
+
+
 def test_what_may_run_once_gets_no_connection_that_rested_long(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(backends, "has_bytes", lambda _: False)
 
