A door takes over newer totals only, and no place at a life that it tried

A registry that lags or stood still tells an older total; one that answers late may name a life that this request has been sent to.

--- a/irisdeal/vane/door.py
+++ b/irisdeal/vane/door.py
@@ -114,6 +114,7 @@
         self.gate = Gate()
         self.repeats: dict[str, Repeats] = {}
         self.doors, self.counted = FIRST_DOORS, False
+        self.total = -1  # the newest finished one that was taken over
         self.edge = Edge(self.loop.time())
         self.spread = LENGTH * (LEAST_SPREAD + (MOST_SPREAD - LEAST_SPREAD) * self.chance.random())
         self.rule = Rule(
@@ -220,7 +221,8 @@
             position, doors, finished, total = told
             self.edge.hear(position, self.loop.time())
             self.doors, self.counted = max(1, doors), True
-            if finished >= 0:
+            if finished > self.total:  # a registry that lags, or stood still, tells an older one
+                self.total = finished
                 self._told(words.get(finished, {}), total)
 
     def _word(self, now: float) -> Figures:
@@ -418,7 +420,7 @@
         if number == OVER_BUDGET[0] or (not number and hold <= 0):
             return None
         backend = self.backends.get(id_)
-        if backend is not None and not backend.draining:
+        if backend is not None and not backend.draining and id_ not in tried:
             return Placed(backend, crowd, source, number)
         if number:
             self.sources.place_ended(source, [number, int(How.UNKNOWN), 0.0])
