--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -4,12 +4,16 @@
 
 import ast
 import asyncio
+import random
 from collections.abc import Awaitable, Callable, Iterator
 from pathlib import Path
 from types import SimpleNamespace
 from typing import Any, cast
 
 import pytest
+from hypothesis import given
+from hypothesis import settings as trying
+from hypothesis import strategies as st
 from returns.result import Failure, Success
 
 from irisdeal.gauge.desk import Desk
@@ -531,3 +535,39 @@
 
     told_, deaf = two.play(scenario())
     assert told_ is None and HOST in deaf and ended == [[7, int(How.UNKNOWN), 0.0]]
+
+
+# Lives: told late, twice, in any order
+
+
+@trying(max_examples=150, deadline=None)
+@given(st.integers(0, 100_000))
+def test_beats_drains_and_ends_told_late_twice_and_in_any_order_lead_to_the_same(seed: int) -> None:
+    chance = random.Random(seed)
+    words = [Life("i", "s", f"10.9.0.{count}:80", "z", 2, State.READY, count, 0.0) for count in range(1, 5)]
+    ends = chance.choice((None, State.DRAINING, State.GONE))
+    if ends is not None:
+        words.append(Life("i", "s", "10.9.0.5:80", "z", 2, ends, 5, 0.0))
+    known = []
+    for _ in range(3):
+        registry, told = Registry(1.5), words * 2
+        chance.shuffle(told)
+        for life in told:
+            registry.hear(life, 1.0)
+        life = registry.entries["i"].life
+        known.append((life.state, life.count, life.address))
+        number = registry.number
+        for late in words:  # each once more: no news
+            assert not registry.hear(late, 1.5)
+        assert registry.number == number
+    assert set(known) == {(ends or State.READY, len(words), f"10.9.0.{len(words)}:80")}
+
+
+def test_a_late_beat_brings_no_life_back_and_a_new_life_at_its_address_is_another() -> None:
+    registry = Registry(1.5)
+    registry.hear(Life("i-1", "s", "10.9.0.1:80", "z", 2, State.READY, 7, 0.0), 0.0)
+    assert registry.leave("i-1", 1.0) is not None and registry.leave("i-1", 1.1) is not None
+    registry.hear(Life("i-1", "s", "10.9.0.1:80", "z", 2, State.READY, 99, 0.0), 2.0)
+    registry.hear(Life("i-2", "s", "10.9.0.1:80", "z", 2, State.READY, 7, 0.0), 2.0)
+    assert {id_: entry.life.state for id_, entry in registry.entries.items()} == {
+        "i-1": State.GONE, "i-2": State.READY}
--- /dev/null
+++ b/tests/test_wire_judge.py
@@ -0,0 +1,521 @@
+"""A judge on the wire: each answer to its caller, by id, whatever peers and networks do. Time is virtual.
+
+The door's own server, attempts and connections stand between scripted clients and scripted backends; links
+and servers of ours talk through cuts, stills, resets and new lives. The judge knows only what was sent, what
+ran and what came back; it shares no code with what it judges. A seed is a day.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from collections import Counter
+from typing import Any, cast
+
+import pytest
+from returns.result import Success
+
+from irisdeal.almanac.word import Word
+from irisdeal.gauge.registry import Life, State
+from irisdeal.mast.settings import Bind, Settings
+from irisdeal.sim.machine import Core, Costs, Machine
+from irisdeal.sim.net import Network, Way
+from irisdeal.sim.world import START, Stuck, World
+from irisdeal.telegraph import link as telegraph
+from irisdeal.telegraph.link import Link, Server
+from irisdeal.vane import backends
+from irisdeal.vane.backends import Connection, End, Outcome, Pool
+from irisdeal.vane.door import Door
+
+DOOR = ("10.1.0.3", 80)
+LENGTH = 6.0  # s in which clients ask
+CLOSING = 4.0  # s behind it, until the last deadline is over
+CLIENTS, BACKENDS = 6, 4
+PROMISES = {408, 421, 429, 503}
+FAULTS = ("good",) * 12 + (
+    "promise", "promise twice", "500", "503", "reset", "run and reset", "cut", "silent", "slow", "twice",
+    "twice later", "of another", "no id", "close", "torn", "garbage")
+SETTINGS = Settings(
+    node_name="d", role="vane", ip=DOOR[0], zone="z", port_range=(7340, 7355), seed_peers=("10.1.0.4:1",),
+    zones={"z": "r"}, region="r", bounds=("retry_slack=1000",),
+    bind=Bind(front="10.1.0.3:80", readiness="10.1.0.3:81"))
+
+
+def parsed(data: bytes) -> tuple[list[tuple[bytes, dict[bytes, bytes], bytes]], bytes]:
+    """Whole messages with a length: first line, fields, body; and the rest."""
+    found = []
+    while b"\r\n\r\n" in data:
+        top, rest = data.split(b"\r\n\r\n", 1)
+        lines = top.split(b"\r\n")
+        named = (line.partition(b":") for line in lines[1:])
+        fields = {name.lower(): value.strip() for name, _, value in named}
+        length = int(fields.get(b"content-length", b"0"))
+        if len(rest) < length:
+            break
+        found.append((lines[0], fields, rest[:length]))
+        data = rest[length:]
+    return found, data
+
+
+class Judge:
+    """What was sent, what ran, what came back."""
+
+    def __init__(self) -> None:
+        self.sent: dict[bytes, tuple[bytes, bytes]] = {}  # id -> first line, body
+        self.ran: Counter[bytes] = Counter()
+        self.answers: Counter[int] = Counter()
+        self.promised: set[bytes] = set()
+        self.breaches: list[str] = []
+
+    def run(self, id_: bytes, line: bytes, body: bytes) -> None:
+        self.ran[id_] += 1
+        if self.sent.get(id_) != (line, body):
+            self.breaches.append(f"UNASKED: {id_!r} ran as {line!r}")
+
+    def answer(self, id_: bytes, status: int, fields: dict[bytes, bytes], body: bytes) -> None:
+        """An answer on the connection on which `id_` is the next that is owed one."""
+        self.answers[status] += 1
+        named = fields.get(b"x-irisdeal-attempt-id", id_)
+        if named != id_ or (status == 200 and body != b"did " + id_):
+            self.breaches.append(f"MIXED: {id_!r} was answered with {status} {named!r} {body!r}")
+        if status == 200 and not self.ran[id_]:
+            self.breaches.append(f"MIXED: {id_!r} succeeded and never ran")
+        if status in PROMISES:
+            self.promised.add(id_)
+
+    def close(self) -> list[str]:
+        for id_, times in self.ran.items():
+            if id_.startswith(b"m") and times > 1:
+                self.breaches.append(f"TWICE: {id_!r} ran {times} times")
+            if id_.startswith(b"m") and id_ in self.promised:
+                self.breaches.append(f"REFUSED: {id_!r} was promised and ran")
+        return self.breaches
+
+
+class Backend(asyncio.Protocol):
+    """One connection to a scripted backend; what it does with each request is drawn."""
+
+    def __init__(self, day: Day, life: bytes) -> None:
+        self.day, self.life, self.rest, self.last, self.extra = day, life, b"", b"m0", b""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+
+    def data_received(self, data: bytes) -> None:
+        requests, self.rest = parsed(self.rest + data)
+        for line, fields, body in requests:
+            self.serve(line, fields, body)
+
+    def text(self, id_: bytes, status: int, more: bytes = b"", named: bool = True) -> bytes:
+        body = b"did " + id_
+        name = b"X-Irisdeal-Attempt-Id: %s\r\n" % id_ if named else b""
+        seal = b"X-Irisdeal-Backend-Seal: s\r\n" if status == 200 else b""
+        return b"HTTP/1.1 %d X\r\n%s%s%sContent-Length: %d\r\n\r\n%s" % (
+            status, name, seal, more, len(body), body)
+
+    def serve(self, line: bytes, fields: dict[bytes, bytes], body: bytes) -> None:
+        id_, day = fields[b"x-irisdeal-attempt-id"], self.day
+        line = line.rpartition(b" ")[0]
+        if fields.get(b"x-irisdeal-target-backend") != self.life:
+            return self.say(self.text(id_, 421))
+        how = day.chance.choice(FAULTS) if day.now() < LENGTH else "good"
+        last, self.last = self.last, id_
+        match how:
+            case "promise":
+                return self.say(self.text(id_, 503, b"X-Irisdeal-Not-Executed: 1\r\n"))
+            case "promise twice":
+                return self.say(self.text(id_, 503, b"X-Irisdeal-Not-Executed: 1\r\n") * 2)
+            case "reset":
+                return self.transport.abort()
+        day.judge.run(id_, line, body)
+        good = self.text(id_, 200)
+        match how:
+            case "500" | "503":
+                self.say(self.text(id_, int(how)))
+            case "run and reset":
+                self.transport.abort()
+            case "cut":
+                self.say(good[:day.chance.randrange(len(good))], ends=True)
+            case "silent":
+                pass
+            case "slow":
+                self.say(good, after=day.chance.uniform(0.3, 2.5))
+            case "twice":
+                self.say(good * 2)
+            case "twice later":
+                self.extra = good  # in the place of the next answer
+                self.say(good, owed=False)
+            case "of another":
+                self.say(self.text(last, 200))
+            case "no id":
+                self.say(self.text(id_, 200, named=False))
+            case "close":
+                self.say(self.text(id_, 200, b"Connection: close\r\n"), ends=True)
+            case "torn":
+                at = day.chance.randrange(len(good))
+                self.say(good[:at])
+                self.say(good[at:], after=0.02)
+            case "garbage":
+                self.say(b"\x00garbage\r\n\r\n")
+            case _:
+                self.say(good)
+
+    def say(self, data: bytes, after: float = 0.0, ends: bool = False, owed: bool = True) -> None:
+        if owed:
+            data, self.extra = self.extra + data, b""
+
+        def write() -> None:
+            if not self.transport.is_closing():
+                self.transport.write(data)
+                if ends:
+                    self.transport.close()
+
+        self.day.loop().call_later(after + self.day.chance.uniform(0.005, 0.08), write)
+
+
+class Client(asyncio.Protocol):
+    """One connection of a client: requests behind each other, not all whole, not all waited for."""
+
+    def __init__(self, day: Day, number: int) -> None:
+        self.day, self.number, self.owed, self.rest, self.open = day, number, cast(list[bytes], []), b"", True
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.open = False
+
+    def data_received(self, data: bytes) -> None:
+        answers, self.rest = parsed(self.rest + data)
+        for line, fields, body in answers:
+            if not self.owed:
+                self.day.judge.breaches.append(f"MIXED: {line!r} and no request waits")
+                return
+            self.day.judge.answer(self.owed.pop(0), int(line.split()[1]), fields, body)
+
+    def ask(self) -> bytes:
+        day = self.day
+        kind = day.chance.choice((b"m", b"i"))
+        day.asked += 1
+        id_ = b"%s%d" % (kind, day.asked)
+        line, body = b"POST /%s/%d" % (kind, day.asked), b"text %d" % day.asked
+        day.judge.sent[id_] = (line, body)
+        self.owed.append(id_)
+        given = day.chance.choice((200, 600, 1500))
+        return (b"%s HTTP/1.1\r\nHost: h\r\nX-Irisdeal-Attempt-Id: %s\r\nX-Irisdeal-Deadline-Ms: %d\r\n"
+                b"Content-Length: %d\r\n\r\n%s" % (line, id_, given, len(body), body))
+
+    async def play(self) -> None:
+        """Ask a few at once, in pieces; then wait, or leave."""
+        chance = self.day.chance
+        for _ in range(chance.randint(1, 6)):
+            text = b"".join(self.ask() for _ in range(chance.randint(1, 4)))
+            at = chance.randrange(len(text))
+            self.transport.write(text[:at])
+            await asyncio.sleep(chance.uniform(0.0, 0.03))
+            if not self.open:
+                return
+            if chance.random() < 0.05:
+                return self.transport.abort()  # midway
+            self.transport.write(text[at:])
+            await asyncio.sleep(chance.uniform(0.0, 0.4))
+            if chance.random() < 0.05:
+                return self.transport.abort()
+            if chance.random() < 0.05:
+                return self.transport.write_eof()
+            if not self.open:
+                return
+        await asyncio.sleep(2.0)
+        self.transport.close()
+
+
+class Day:
+    """One seed: a door, its backends, its clients."""
+
+    def __init__(self, seed: int, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.world = World(seed)
+        self.net = Network(self.world)
+        self.chance = random.Random(seed)
+        self.judge, self.asked, self.over = Judge(), 0, False
+        self.door = Machine(self.world, self.net, "door", Core(), Costs())
+        monkeypatch.setattr(backends, "has_bytes", lambda file: self.net.has_bytes(self.door, file))
+
+    def now(self) -> float:
+        return (self.world.now - START) / 1e6
+
+    @staticmethod
+    def loop() -> asyncio.AbstractEventLoop:
+        return asyncio.get_running_loop()
+
+    def backend(self, number: int, life: str) -> Machine:
+        machine = Machine(self.world, self.net, life, Core(), Costs())
+
+        async def run() -> int:
+            await self.loop().create_server(lambda: Backend(self, life.encode()), f"10.9.0.{number}", 80)
+            await self.loop().create_future()
+            return 0
+
+        machine.start(run())
+        return machine
+
+    async def _door(self) -> int:
+        door = Door(SETTINGS)
+        door.chance = door.wind.chance = self.chance
+        door.sources.has_heard.set()
+        rules = [{"name": kind, "kind": name, "target_ms": 400, "pattern": {"path_prefix": f"/{kind}/"},
+                  "effect": {"service": "s", "timeout_ms": 2000, "max_tries": 3}}
+                 for kind, name in (("m", "mutating"), ("i", "idempotent"))]
+        sockets = [{"hostname": "h", "rules": rules}]
+        body = {"generation": "r1", "pools": [{"name": "s"}], "sockets": sockets}
+        door._on_word(Word.of("r1", json.dumps(body).encode()))
+        for number in range(BACKENDS):
+            door._on_life(Life(f"i-{number}", "s", f"10.9.0.{number}:80", "z", 4, State.READY, 1, 0.0), False)
+        await door.front.listen(DOOR)
+        self.made = door
+        await self.loop().create_future()
+        return 0
+
+    async def _client(self, number: int) -> None:
+        while self.now() < LENGTH:
+            await asyncio.sleep(self.chance.uniform(0.0, 0.2))
+            try:
+                _, client = await self.loop().create_connection(lambda: Client(self, number), *DOOR)
+            except OSError:
+                continue
+            await client.play()
+
+    async def _clients(self) -> int:
+        await asyncio.sleep(0.1)
+        await asyncio.gather(*(self._client(number) for number in range(CLIENTS)))
+        await asyncio.sleep(CLOSING)
+        self.over = True
+        return 0
+
+    def play(self) -> list[str]:
+        machines = [self.backend(number, f"i-{number}") for number in range(BACKENDS)]
+
+        def reuse() -> None:
+            """Another life stands at the address of one that is gone; the door learns of a third."""
+            machines[0].kill()
+            self.backend(0, "i-9")
+
+        self.world.at(START + 3_000_000, "reuse", reuse)
+        self.world.at(START + 4_000_000, "still", lambda: self.door.pause(START + 6_000_000))
+        self.door.start(self._door())
+        clients = Machine(self.world, self.net, "clients", Core(), Costs())
+        clients.start(self._clients())
+        self.world.run(lambda: self.over, START + 60_000_000)
+        errors = [error for machine in (self.door, clients, *machines) for error in machine.errors]
+        assert not errors, errors
+        return self.judge.close()
+
+
+@pytest.mark.parametrize("seed", range(16))
+def test_each_answer_of_the_door_goes_to_its_request(seed: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    day = Day(seed, monkeypatch)
+    assert day.play() == []
+    assert day.judge.answers[200] > 20 and day.judge.answers.total() > 40
+
+
+def test_a_day_has_the_same_verdict_each_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    first, second = Day(3, monkeypatch), Day(3, monkeypatch)
+    first.play()
+    second.play()
+    assert first.judge.answers == second.judge.answers and first.judge.ran == second.judge.ran
+
+
+def _planted(bug: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    match bug:
+        case "matched by order alone":
+            monkeypatch.setattr(Connection, "_answered", _any_answer)
+        case "used again after a silence":
+            monkeypatch.setattr(Connection, "give_up", lambda self: setattr(self, "done", None))
+            monkeypatch.setattr(Connection, "data_received", _whoever_waits)
+            monkeypatch.setattr(Connection, "_answered", _any_answer)
+        case "a reset is taken for unsent":
+            lost = Connection.connection_lost
+
+            def unsent(self: Connection, exc: Exception | None) -> None:
+                done, self.done = self.done, None
+                if done is not None and not done.done():
+                    done.set_result(Outcome(End.UNSENT, "reset"))
+                lost(self, exc)
+
+            monkeypatch.setattr(Connection, "connection_lost", unsent)
+        case "a silence is taken for unsent":
+            send = Pool.send
+
+            async def again(self: Pool, *given: Any) -> Outcome:
+                outcome = await send(self, *given)
+                return Outcome(End.UNSENT, "silence") if outcome.late else outcome
+
+            monkeypatch.setattr(Pool, "send", again)
+        case "its own 503 is passed on":
+            monkeypatch.setattr(backends, "PROMISES", ())
+
+
+def _any_answer(self: Connection, spoilt: bool) -> None:
+    headers = [field for field in self.headers if field[0].lower() != b"content-length"]
+    self._finish(Outcome(End.ANSWER, "", self.status, headers, b"".join(self.parts)), True)
+
+
+def _whoever_waits(self: Connection, data: bytes) -> None:
+    self.parser.feed_data(data)
+    if self.whole:
+        self._answered(False)
+
+
+@pytest.mark.parametrize(("bug", "rule"), [
+    ("matched by order alone", "MIXED"), ("used again after a silence", "MIXED"),
+    ("a reset is taken for unsent", "TWICE"), ("a silence is taken for unsent", "REFUSED"),
+    ("its own 503 is passed on", "REFUSED")])
+def test_the_judge_finds_what_is_planted_in_the_door(
+    bug: str, rule: str, monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    _planted(bug, monkeypatch)
+    found: list[str] = []
+    for seed in range(6):
+        day = Day(seed, monkeypatch)
+        try:
+            found += day.play()
+        except AssertionError:  # the plant broke it otherwise as well
+            found += day.judge.close()
+    assert any(breach.startswith(rule) for breach in found)
+
+
+# Links
+
+
+class Talk:
+    """One caller and one answerer of ours; stills, resets, cuts and new lives between them."""
+
+    def __init__(self, seed: int) -> None:
+        self.world = World(seed)
+        self.net = Network(self.world)
+        self.chance = random.Random(seed)
+        self.way = Way(700, 300)
+        self.net.pair("caller", "10.0.0.2", self.way)
+        self.caller = Machine(self.world, self.net, "caller", Core(), Costs())
+        self.ran: Counter[int] = Counter()
+        self.good = self.lives = 0
+        self.late: list[int] = []
+        self.breaches: list[str] = []
+        self.over = False
+        self.host = self.start()
+
+    def start(self) -> Machine:
+        machine = Machine(self.world, self.net, f"host {self.lives}", Core(), Costs())
+        self.lives += 1
+
+        async def handle(peer: str, kind: str, body: Any) -> Any:
+            self.ran[body] += 1
+            await asyncio.sleep(self.chance.choice((0.0, 0.01, 0.05, 0.1, 0.7)))
+            return ["did", body]
+
+        async def run() -> int:
+            await Server(handle).listen(("10.0.0.2", 7000))
+            await asyncio.get_running_loop().create_future()
+            return 0
+
+        machine.start(run())
+        return machine
+
+    def fault(self) -> None:
+        now = self.world.now
+        match self.chance.choice(("still", "caller still", "reset", "cut", "life")):
+            case "still":
+                self.host.pause(now + self.chance.choice((100_000, 4_000_000)))
+            case "caller still":
+                self.caller.pause(now + self.chance.choice((100_000, 2_000_000)))
+            case "reset":
+                self.net.reset(self.way)
+            case "cut":
+                self.way.cut = self.way.silent = True
+                self.world.at(now + 600_000, "join", self.join)
+            case "life":
+                self.host.kill()
+                self.host = self.start()
+
+    def join(self) -> None:
+        self.way.cut = self.way.silent = False
+        self.net.release(self.way)
+
+    async def one(self, link: Link, number: int) -> None:
+        await asyncio.sleep(self.chance.uniform(0.0, 10.0))
+        answer = await link.call("lend", number, self.chance.choice((0.04, 0.06, 0.4, 1.5)))
+        if isinstance(answer, Success):
+            self.good += 1
+            if answer.unwrap() != ["did", number]:
+                self.breaches.append(f"{number} was answered with {answer.unwrap()}")
+            if not self.ran[number]:
+                self.breaches.append(f"{number} was answered and never ran")
+        elif answer.failure().never_sent and self.ran[number]:
+            self.breaches.append(f"{number} ran and was told as never sent")
+
+    async def talk(self) -> int:
+        link = Link(("10.0.0.2", 7000), "vane 1", lambda kind, body: self.late.append(body[1]))
+        await asyncio.gather(*(self.one(link, number) for number in range(400)))
+        await asyncio.sleep(5.0)
+        self.over = True
+        return 0
+
+    def play(self) -> list[str]:
+        for at in range(800, 9_000, 700):
+            self.world.at(START + at * 1_000, "fault", self.fault)
+        self.caller.start(self.talk())
+        try:
+            self.world.run(lambda: self.over, START + 60_000_000)
+        except Stuck:
+            self.breaches.append("a call that never ends")
+        assert not self.caller.errors
+        self.breaches += [f"{number} ran {times} times" for number, times in self.ran.items() if times > 1]
+        self.breaches += [f"{number} came late {times} times" for number, times in Counter(self.late).items()
+                          if times > 1]
+        return self.breaches
+
+
+@pytest.mark.parametrize("seed", range(16))
+def test_each_answer_of_a_link_goes_to_its_call_and_each_call_runs_once(seed: int) -> None:
+    talk = Talk(seed)
+    assert talk.play() == []
+    assert talk.good > 40
+
+
+@pytest.mark.parametrize(("bug", "breach"), [
+    ("ids reused after a restart", "was answered with"), ("matched by order alone", "was answered with"),
+    ("sent again", "ran 2 times")])
+def test_the_judge_finds_what_is_planted_in_a_link(
+    bug: str, breach: str, monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    calls = telegraph._Calls
+    match bug:
+        case "ids reused after a restart":
+            made, shared = calls.__init__, cast(dict[int, Any], {})
+
+            def one_for_all(self: Any, *given: Any) -> None:
+                made(self, *given)
+                self.asked = shared  # numbers begin anew with each connection, and are known by number alone
+
+            def lost(self: Any, exc: Exception | None) -> None:
+                self.open = False
+
+            monkeypatch.setattr(calls, "__init__", one_for_all)
+            monkeypatch.setattr(calls, "connection_lost", lost)
+            monkeypatch.setattr(calls, "retire", lambda self: None)
+        case "matched by order alone":
+            take = calls._take
+
+            def first(self: Any, item: Any) -> None:
+                take(self, [next(iter(self.asked), item[0]), *item[1:]])
+
+            monkeypatch.setattr(calls, "_take", first)
+        case "sent again":
+            call = Link.call
+
+            async def again(self: Link, kind: str, body: Any, within: float) -> Any:
+                answer = await call(self, kind, body, within)
+                return answer if isinstance(answer, Success) else await call(self, kind, body, within)
+
+            monkeypatch.setattr(Link, "call", again)
+    assert any(breach in found for seed in range(6) for found in Talk(seed).play())
