--- a/irisdeal/squall/core.py
+++ b/irisdeal/squall/core.py
@@ -14,13 +14,13 @@
 from irisdeal.almanac.member import Member
 from irisdeal.mast.events import log
 from irisdeal.sim.machine import Machine
-from irisdeal.sim.world import Stuck
+from irisdeal.sim.world import Spinning, Stuck
 from irisdeal.squall.faults import Director
-from irisdeal.squall.history import EVER, Kind, check
+from irisdeal.squall.history import EVER, NONE, Kind, check
 from irisdeal.squall.operators import Callers, Record
-from irisdeal.squall.stage import MAKE, Stage, pause
+from irisdeal.squall.stage import DISK_TIMES, MAKE, Stage, pause
 
-LENGTH = 12.0  # s of faults; then the closing one, and as long as it takes
+LENGTH = 8.0  # s of faults; then the closing one, and as long as it takes
 START_BY = 2.0  # s until the first fault
 MOST_READ = 6.0  # s that the operator asks at the end before what was acknowledged counts as lost
 CAUGHT_UP = 5.0  # s after the last return by which every member answers
@@ -28,6 +28,7 @@
 MOST_CALM = 4.0  # s without an acknowledgement while nothing is lost
 BURST = (160, 22.0, 14.0)  # changes, s of them, s that a member is down in them
 OVER = 400.0  # s after which a day that is not over is stuck
+LAG = 1.5  # s, three rounds: what was confirmed longer before the asking than this is known to whoever asked
 SLACK = 0.05  # s: a word that was on its way, and a turn of the loop
 
 
@@ -46,6 +47,7 @@
     outages: list[tuple[str, float]] = field(default_factory=list)  # orders that met a loss: which, s they took
     breaches: list[str] = field(default_factory=list)
     faults: list[str] = field(default_factory=list)
+    stale: list[str] = field(default_factory=list)  # ages told that were not those of what was told
     trail: str = ""  # of all that happened, to the last byte
 
 
@@ -54,12 +56,13 @@
 
     def __init__(
         self, count: int, seed: int, make: MAKE = Member, length: float = LENGTH, operators: int = 2,
-        only: tuple[str, ...] = (), burst: bool = False,
+        only: tuple[str, ...] = (), burst: bool = False, readers: int = 0, disk_times: tuple[int, ...] = DISK_TIMES,
     ) -> None:
-        """`only`: the faults to choose from. `burst`: hundreds of changes with a member down."""
+        """`only`: the faults to choose from. `burst`: hundreds of changes with a member down. `readers`: callers
+        that do nothing but read. `disk_times`: µs of an act on a disk, of which each start draws one."""
         self.seed, self.length, self.burst = seed, length, burst
-        self.stage = Stage(count, seed, make)
-        self.callers = Callers(self.stage, operators, 2)
+        self.stage = Stage(count, seed, make, disk_times)
+        self.callers = Callers(self.stage, operators, 1, readers)
         self.machine = self.stage.new_caller("director")
         self.director = Director(self.stage, self.callers, self.machine, only)
         self.verdict = Verdict(seed)
@@ -117,8 +120,8 @@
         with heard() as events:
             try:
                 self.stage.run(lambda: self.over, OVER + self.length)
-            except Stuck as error:
-                self.breach(f"stuck: {error}"[:400])
+            except (Stuck, Spinning) as error:
+                self.breach(f"{type(error).__name__}: {error}"[:400])
         verdict, record = self.verdict, self.callers.record
         verdict.orders, verdict.acknowledged, verdict.sends = record.orders, record.acknowledged, record.sends
         verdict.reads = sum(op.kind is Kind.READ for op in record.ops)
@@ -130,6 +133,7 @@
         verdict.outages = [(name, took) for begun, took in record.times for loss, name in self.director.log.began
                            if 0.0 <= begun - loss <= AFTER_LOSS]
         verdict.breaches += [*check(record.ops), *self._changes(record), *self._ages(record), *events[:3]]
+        verdict.stale = self._lags(record)
         verdict.trail = self.stage.world.trail.digest()
         return verdict
 
@@ -157,6 +161,20 @@
         return []
 
 
+    def _lags(self, record: Record) -> list[str]:
+        """Who says that it asked a majority then knows what was confirmed well before."""
+        confirmed = sorted((op.end, op.number) for op in record.ops if op.kind is Kind.CONFIRMED)
+        newest, at = NONE, 0
+        for asked, seen in sorted(((seen.at - seen.age / 1e3 - LAG, seen) for seen in record.seen if seen.age >= 0),
+                                  key=lambda pair: pair[0]):
+            while at < len(confirmed) and confirmed[at][0] < asked:
+                newest, at = max(newest, confirmed[at][1]), at + 1
+            if seen.number < newest:
+                return [f"{seen.at:.3f} s: {seen.host} says that it asked {seen.age:.0f} ms ago and tells "
+                        f"r{seen.number}; r{newest} was confirmed {LAG:g} s before that"]
+        return []
+
+
 class _Ear(logging.Handler):
     """Keeps what must never be told."""
 
--- a/irisdeal/squall/faults.py
+++ b/irisdeal/squall/faults.py
@@ -44,7 +44,7 @@
             "one way": self.one_way, "freeze": self.freeze, "slow disk": self.slow_disk,
             "full disk": self.full_disk, "reset": self.reset, "replace": self.replace, "herd": self.herd,
             "after ack": self.after_ack, "after put": self.after_put, "flap": self.flap,
-            "clock": self.clock,
+            "clock": self.clock, "blink": self.blink,
         }
         self.faults = {name: fault for name, fault in every.items() if not only or name in only}
         self.names = [name for name in self.faults for _ in range(WEIGHTS.get(name, 1))]
@@ -73,6 +73,10 @@
 
     # One member lost
 
+    def short(self) -> float:
+        """s that a process is away."""
+        return self.chance.choice((0.02, self.chance.uniform(0.05, 0.5), self.chance.uniform(0.2, 3.0)))
+
     async def down(self, host: str, how: str, seconds: float) -> None:
         self.stage.kill(host, how)
         await self.wait(seconds)
@@ -97,7 +101,7 @@
         await self.wait(self.chance.uniform(0.0, 0.004))
         if host in self.stage.hosts:
             self.note(f"after its ack {host}")
-            await self.down(host, self.chance.choice(("kill", "power", "wipe")), self.chance.uniform(0.2, 3.0))
+            await self.down(host, self.chance.choice(("kill", "power", "wipe")), self.short())
 
     async def after_put(self, host: str) -> None:
         """The one that is at work on an order is lost, 5 to 400 ms after that was sent."""
@@ -105,7 +109,7 @@
         await self.wait(self.chance.choice((0.005, 0.01, 0.02, 0.05, 0.4)))
         if host in self.stage.hosts:
             self.note(f"after a put {host}")
-            await self.down(host, self.chance.choice(("kill", "power", "wipe")), self.chance.uniform(0.2, 3.0))
+            await self.down(host, self.chance.choice(("kill", "power", "wipe")), self.short())
 
     async def flap(self, host: str) -> None:
         """It is killed again as soon as it is back."""
@@ -113,6 +117,13 @@
             await self.down(host, self.chance.choice(("kill", "power")), self.chance.uniform(0.05, 0.3))
             await self.wait(self.chance.uniform(0.0, 0.8))
 
+    async def blink(self, host: str) -> None:
+        """The process is killed amid an order and is back at once."""
+        host = await self.callers.next(self.machine, self.callers.awaiting, MOST_WAIT) or host
+        await self.wait(self.chance.uniform(0.0, 0.08))
+        if host in self.stage.hosts:
+            await self.down(host, self.chance.choice(("kill", "power")), self.chance.uniform(0.001, 0.03))
+
     async def cut(self, host: str) -> None:
         await self._cut(host, self.chance.uniform(0.3, 5.0), True, True)
 
--- a/irisdeal/squall/operators.py
+++ b/irisdeal/squall/operators.py
@@ -24,7 +24,7 @@
 
 PATIENCE = 1.0  # s of silence after which an operator goes to another member
 LOSE_AFTER = (0.0005, 0.004, 0.02, 0.08)  # s after which an answer counts as lost on its way
-PACE = 0.5  # s at most, times the operators, between two orders of one of them
+PACE = 0.7  # s at most, times the operators, between two orders of one of them
 MOST_SENDS = 12  # times that one order is sent
 READS = 0.4  # share of orders that a read follows
 OLD = 0.08  # share of orders that are old ones, sent again
@@ -78,8 +78,8 @@
 class Callers:
     """The operators and watchers of one day."""
 
-    def __init__(self, stage: Stage, operators: int, watchers: int, size: int = 0) -> None:
-        """`size`: bytes of padding in each body, most of it alike from one to the next."""
+    def __init__(self, stage: Stage, operators: int, watchers: int, readers: int = 0, size: int = 0) -> None:
+        """`readers`: callers that do nothing but read. `size`: bytes of padding in each body."""
         self.stage, self.size = stage, size
         self.record = Record()
         self.links: dict[tuple[str, str], Link] = {}
@@ -97,6 +97,9 @@
         for name in (f"watcher-{index}" for index in range(watchers)):
             machine = stage.new_caller(name)
             machine.start(self._watch(machine))
+        for name in (f"reader-{index}" for index in range(readers)):
+            machine = stage.new_caller(name)
+            machine.start(self._read(machine))
 
     def now(self) -> float:
         return self.stage.world.seconds()
@@ -184,6 +187,11 @@
                 await self.read(machine, chance.choice(self.stage.hosts))
             await pause(machine, chance.uniform(0.0, self.pace))
 
+    async def _read(self, machine: Machine) -> int:
+        while True:
+            await self.read(machine, self.stage.chance.choice(self.stage.hosts))
+            await pause(machine, self.stage.chance.uniform(0.0, 0.02))
+
     async def next(self, machine: Machine, waiting: list[asyncio.Future[str]], most: float) -> str | None:
         """The member of the next acknowledgement, or order sent; None after so many s without one."""
         future: asyncio.Future[str] = machine.create_future()
--- a/irisdeal/squall/stage.py
+++ b/irisdeal/squall/stage.py
@@ -61,7 +61,10 @@
 class Stage:
     """Machines, disks and ways by one seed."""
 
-    def __init__(self, count: int, seed: int, make: MAKE = Member) -> None:
+    def __init__(
+        self, count: int, seed: int, make: MAKE = Member, disk_times: tuple[int, ...] = DISK_TIMES,
+    ) -> None:
+        self.disk_times = disk_times
         self.world = World(seed)
         self.net = Network(self.world)
         self.chance = random.Random(seed + 1)
@@ -114,7 +117,7 @@
     def start(self, host: str, first: bool = False) -> None:
         """The process of this machine starts, with the settings of this moment and the disk as it is."""
         machine = self.machines[host] = Host(self, host)
-        machine.disk_time = self.chance.choice(DISK_TIMES)
+        machine.disk_time = self.chance.choice(self.disk_times)
         settings = self.settings(host, first)
 
         async def run() -> int:
--- /dev/null
+++ b/tests/planted/store.py
@@ -0,0 +1,155 @@
+"""Bugs planted in the store, each as one method put in place of another. `squall` days must find every one of them.
+
+`planted(name)` is the program with that bug while it lasts. Beside each stands what is wrong.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+from contextlib import ExitStack
+from typing import Any
+from unittest import mock
+
+from returns.result import Success
+
+from irisdeal.almanac.acceptor import Acceptor
+from irisdeal.almanac.contact import Contact
+from irisdeal.almanac.member import ANSWER, Member
+from irisdeal.almanac.members import Members, ip_of, majority
+from irisdeal.almanac.peers import now
+from irisdeal.almanac.proposer import Proposer
+from irisdeal.almanac.register import Ballot, Kept, Outcome, Value, on_accept, on_prepare
+from irisdeal.almanac.report import Report
+from irisdeal.almanac.word import Stamp, Word
+
+
+async def promise_not_synced(self: Acceptor, ballot: Ballot) -> tuple[bool, Kept]:
+    """A promise is kept in memory alone."""
+    async with self.lock:
+        good, self.kept = on_prepare(self.kept, ballot)
+        return good, self.kept
+
+
+async def accept_not_synced(self: Acceptor, ballot: Ballot, value: Value) -> tuple[bool, Ballot] | None:
+    """What was accepted is kept in memory alone."""
+    async with self.lock:
+        if not self.holds(value.stamp):
+            return None
+        good, self.kept = on_accept(self.kept, ballot, value)
+        self._need()
+        return good, self.kept.promised
+
+
+async def accept_after_higher(self: Acceptor, ballot: Ballot, value: Value) -> tuple[bool, Ballot] | None:
+    """A ballot is accepted though a higher one was promised."""
+    async with self.lock:
+        if not self.holds(value.stamp):
+            return None
+        await self._write(Kept(max(ballot, self.kept.promised), ballot, value))
+        return True, self.kept.promised
+
+
+def old_majority_alone(self: Members, heard: Iterable[str]) -> bool:
+    """While the list changes, the old one decides alone."""
+    seats = self.former or self.seats
+    return len(set(heard) & set(seats)) >= majority(seats)
+
+
+def learner_counted(self: Members, heard: Iterable[str]) -> bool:
+    """Another disk at a member's address counts as the member."""
+    ips = set(map(ip_of, heard))
+    return all(len(ips & set(map(ip_of, seats))) >= majority(seats) for seats in (self.seats, self.former) if seats)
+
+
+async def any_disk_answers(self: Member, peer: str, kind: str, body: Any) -> Any:
+    """A prepare or accept for the disk that was here before is answered by the new one."""
+    if kind in ("prepare", "accept"):
+        body = [self.acceptor.seat, *body[1:]]
+    return await HANDLE(self, peer, kind, body)
+
+
+async def lease_from_answer(self: Member, ip: str) -> Report | None:
+    """Contact counts from when the answer came."""
+    answer = await self.peers.call(ip, "state", self.report().tell(), 30 * ANSWER)
+    if not isinstance(answer, Success):
+        return None
+    report = self._heard(answer.unwrap())
+    self.contact.heard(report.seat, now())
+    return report
+
+
+async def read_unsafe(self: Member) -> list[Any]:
+    """The highest value that a majority tells of, decided or not."""
+    known = self._known()
+    heard = await asyncio.gather(*(self._ask(ip) for ip in sorted(known.ips() - {self.ip})))
+    reports = [self.report(), *(report for report in heard if report)]
+    if not known.is_quorum(report.seat for report in reports):
+        return [False, None]
+    value = max(reports, key=lambda report: report.accepted).value
+    if value.stamp.number < 0:
+        return [True, None]
+    word = await self.peers.body(value.stamp, sorted(value.members.ips()))
+    return [word is not None, word.body if word is not None else None]
+
+
+async def read_alone(self: Member) -> list[Any]:
+    """What this member knows."""
+    word = self.acceptor.word(self.force.stamp)
+    return [True, word.body if word is not None else None]
+
+
+async def force_undecided(self: Member, peer: str, kind: str, body: Any) -> Any:
+    """What was accepted is in force, before a majority has it."""
+    given = await HANDLE(self, peer, kind, body)
+    if kind == "accept" and given is not None and given[0]:
+        self.force = Value.hear(body[2])
+        self._wake()
+    return given
+
+
+def again_refused(self: Proposer, stamp: Stamp) -> Outcome | None:
+    """An order that holds is refused when it comes again."""
+    held = self.acceptor.decided.stamp
+    if held.number < stamp.number:
+        return None
+    return Outcome.OTHER if held.number == stamp.number and stamp not in self.orders else Outcome.CONFIRMED
+
+
+async def alone_confirmed(self: Proposer, word: Word, within: float) -> Outcome:
+    """An order is confirmed once it is held here."""
+    self.orders.setdefault(word.stamp, (word, asyncio.get_running_loop().create_future()))
+    if not self.working:
+        self.working = True
+        self.tasks.start(self._work())
+    return Outcome.CONFIRMED if await self.acceptor.hold(word) else Outcome.LATER
+
+
+def never_woke(self: Contact) -> None:
+    """A process that stood still goes on as before."""
+
+
+HANDLE = Member.handle
+
+PLANTED: dict[str, list[tuple[Any, str, Any]]] = {
+    "promise not synced": [(Acceptor, "prepare", promise_not_synced)],
+    "accept not synced": [(Acceptor, "accept", accept_not_synced)],
+    "accept after a higher promise": [(Acceptor, "accept", accept_after_higher)],
+    "list changed with the old majority alone": [(Members, "is_quorum", old_majority_alone)],
+    "learner counted": [(Members, "is_quorum", learner_counted), (Member, "handle", any_disk_answers)],
+    "lease from the answer": [(Member, "_ask", lease_from_answer), (Contact, "woke", never_woke)],
+    "read without making safe": [(Member, "read", read_unsafe)],
+    "read alone": [(Member, "read", read_alone)],
+    "body in force before decided": [(Member, "handle", force_undecided)],
+    "an order again refused": [(Proposer, "settled", again_refused)],
+    "confirmed alone": [(Proposer, "put", alone_confirmed)],
+}
+
+
+def planted(name: str) -> ExitStack:
+    """The program has this bug until the end of the `with`; "nothing": it is as it is."""
+    stack = ExitStack()
+    for owner, method, instead in PLANTED.get(name, []):
+        stack.enter_context(mock.patch.object(owner, method, instead))
+    return stack
+
