--- a/irisdeal/almanac/acceptor.py
+++ b/irisdeal/almanac/acceptor.py
@@ -54,14 +54,16 @@
         except ValueError as error:
             tell(212, ip=self.ip, error=error)
             first = None
-        for word in await self._on_disk(self.files.open):
-            self.shelf.hold(word)
+        words = await self._on_disk(self.files.open)
         if state is None:
             value = first or UNKNOWN
             state = State(FIRST if first else secrets.token_hex(ID), Kept(NO_BALLOT, NO_BALLOT, value), value)
             await self._on_disk(self.keeper.write, state)
             tell(211, seat=seat(self.ip, state.disk))
         self.disk, self.kept, self.decided, self.written = state.disk, state.kept, state.decided, state.decided
+        for word in words:
+            if word.stamp in (self.kept.value.stamp, self.decided.stamp):
+                self.shelf.hold(word)
         self._need()
 
     async def _on_disk(self, act: Callable[..., T], *given: Any) -> T:
--- a/irisdeal/almanac/files.py
+++ b/irisdeal/almanac/files.py
@@ -15,11 +15,12 @@
 
 KEPT = 3  # bodies on disk beside those that are needed: for whoever looks, and for ballots under way
 MAGIC = "irisdeal-word-1"
+NEW = ".new"  # the end of a temporary file's name
 
 
 def put(folder: Folder, name: str, data: bytes) -> None:
     """A file that is there whole or not at all, after any loss of power. OSError where the disk refuses."""
-    temporary = f"{name}.new"
+    temporary = name + NEW
     folder.write(temporary, data)
     folder.sync(temporary)
     folder.rename(temporary, name)
@@ -60,6 +61,8 @@
         """All whole words, synced, by number. OSError where the disk refuses."""
         words = []
         for name in self.folder.names():
+            if name.endswith(NEW):
+                self.folder.remove(name)  # of a process that was killed in the act
             if not (name.startswith("r") and name.endswith(".word")):
                 continue
             try:
--- a/irisdeal/almanac/peers.py
+++ b/irisdeal/almanac/peers.py
@@ -19,7 +19,7 @@
 
 PARCEL = 2.0  # s for one parcel: 64 KB on a link of 2 Mbit/s take 0.3, and the other's disk may be in trouble
 MOST_PARCELS = 400  # of one body: over 20 MB of pieces
-MOST_ARRIVING = 16  # callers whose bodies are on their way at once
+MOST_ARRIVING = 6  # bodies that are brought at once: of up to 16 MB each
 
 
 class Peers:
@@ -50,9 +50,9 @@
     async def bring(self, ip: str, word: Word, have: Have) -> bool:
         """Whether this body is there now, synced, in as many parcels as it takes. `have`: what it said last."""
         for _ in range(MOST_PARCELS):
-            parcel = self.acceptor.shelf.parcel(have, word.stamp)
+            parcel = self._parcel(have, word)
             if parcel is None:
-                parcel = [word.stamp.number, word.stamp.digest, word.body]
+                return False
             answer = await self.call(ip, "bring", parcel, PARCEL)
             if not isinstance(answer, Success):
                 return False
@@ -102,8 +102,14 @@
         word = self.acceptor.word(stamp)
         if word is None:
             return None
-        self.acceptor.shelf.hold(word)  # needed ones may have been put off the shelf
-        return self.acceptor.shelf.parcel(Have.hear(have), stamp)
+        return self._parcel(Have.hear(have), word)
+
+    def _parcel(self, have: Have, word: Word) -> list[Any] | None:
+        """The next parcel; None where the body is over the bound of a frame."""
+        shelf = self.acceptor.shelf
+        if not shelf.has(word.stamp.digest):
+            shelf.hold(word)  # ones that are needed may have been put off the shelf
+        return shelf.parcel(have, word.stamp)
 
     async def body(self, stamp: Stamp, ips: list[str]) -> Word | None:
         """This body: from here, or from the first of these machines that has it."""
--- a/irisdeal/almanac/word.py
+++ b/irisdeal/almanac/word.py
@@ -1,4 +1,4 @@
-"""A version of the operator's word, whole. Merging is taking the larger; no input or output here."""
+"""A version of the operator's word, whole; which one holds is decided in `register.py`. No input or output here."""
 
 from __future__ import annotations
 
@@ -47,10 +47,3 @@
 
     def is_whole(self) -> bool:
         return hashlib.sha256(self.body).digest() == self.stamp.digest
-
-
-def larger(one: Word | None, other: Word | None) -> Word | None:
-    """The one that holds."""
-    if one is None or other is None:
-        return one or other
-    return max(one, other, key=lambda word: word.stamp)
