--- a/tests/core_world.py
+++ b/tests/core_world.py
@@ -104,6 +104,16 @@
     def join(self, machine: Machine) -> None:
         machine.cut, machine.well_at = False, self.now
 
+    def part(self, one: Machine, other: Machine) -> None:
+        """These two do not hear each other; all others hear both."""
+        self.apart.add(frozenset((one.ip, other.ip)))
+
+    def unite(self) -> None:
+        for machine in self.machines.values():
+            if any(machine.ip in pair for pair in self.apart):
+                machine.well_at = self.now
+        self.apart.clear()
+
     def terminate(self, machine: Machine) -> None:
         machine.term_at = self.now
 
@@ -124,7 +134,7 @@
         """As `tolerance` counts it."""
         last = [machine for machine in self.machines.values() if machine.slot == slot][-1]
         return (last.down or last.frozen or last.cut or last.term_at is not None
-                or self.now < last.well_at + self.wanted.sync)
+                or any(last.ip in pair for pair in self.apart) or self.now < last.well_at + self.wanted.sync)
 
     def live_seats(self) -> set[str]:
         """The seats of the largest part that is connected."""
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -233,10 +233,10 @@
 def test_two_that_do_not_hear_each_other_change_little(cores: int, pair: tuple[str, str]) -> None:
     """All others hear both. Each may leave the other out once, and the others bring it back in."""
     world = begun(cores)
-    world.apart.add(frozenset(pair))
+    world.part(*(world.machines[ip] for ip in pair))
     watched(world, 60.0)
     assert world.settled() and world.changes_since(BEGUN + 0.01) <= 4
-    world.apart.clear()
+    world.unite()
     watched(world, 10.0)
     assert world.changes_since(BEGUN + 60.0) <= 1 and len(world.value.members.seats) == min(5, cores)
 
@@ -335,7 +335,7 @@
     assert holds
 
 
-LOSSES = ("kill", "wipe", "freeze", "cut", "end", "remove", "follow")
+LOSSES = ("kill", "wipe", "freeze", "cut", "part", "end", "remove", "follow")
 
 
 class Days(RuleBasedStateMachine):
@@ -374,6 +374,8 @@
                 self.world.freeze(machine)
             case "cut":
                 self.world.cut(machine)
+            case "part":
+                self.world.part(machine, next(other for other in slots.values() if other is not machine))
             case "end":
                 self.world.terminate(machine)
             case "remove":
@@ -385,6 +387,7 @@
 
     @rule()
     def mend(self) -> None:
+        self.world.unite()
         for machine in self.slots().values():
             if machine.gone:
                 self.world.add(machine.slot)
