--- a/irisdeal/almanac/peers.py
+++ b/irisdeal/almanac/peers.py
@@ -47,6 +47,11 @@
 
     # Bodies
 
+    def base(self) -> Stamp:
+        """The newest body that is here: what a difference may be told against."""
+        newest = self.acceptor.shelf.newest
+        return newest.stamp if newest is not None else NOTHING
+
     async def bring(self, ip: str, word: Word, have: Have) -> bool:
         """Whether this body is there now, synced, in as many parcels as it takes. `have`: what it said last."""
         for _ in range(MOST_PARCELS):
@@ -79,20 +84,20 @@
             while len(self.arriving) > MOST_ARRIVING:
                 del self.arriving[next(iter(self.arriving))]
         whole = word is not None and await self.acceptor.hold(word)
-        return [whole, arrivals.have(self.acceptor.decided.stamp).tell()]
+        return [whole, arrivals.have(self.base()).tell()]
 
     async def fetch(self, ip: str, stamp: Stamp) -> Word | None:
         """This body from there, synced here; None where it is not there or our disk refuses."""
         arrivals = Arrivals(self.acceptor.shelf)
         for _ in range(MOST_PARCELS):
-            have = arrivals.have(self.acceptor.decided.stamp)
+            have = arrivals.have(self.base())
             answer = await self.call(ip, "fetch", [have.tell(), stamp.number, stamp.digest], PARCEL)
             if not isinstance(answer, Success) or answer.unwrap() is None:
                 return None
             word = arrivals.take(answer.unwrap())
             if word is not None:
                 return word if word.stamp == stamp and await self.acceptor.hold(word) else None
-            if arrivals.have(self.acceptor.decided.stamp) == have:
+            if arrivals.have(self.base()) == have:
                 return None
         return None
 
--- a/irisdeal/almanac/rounds.py
+++ b/irisdeal/almanac/rounds.py
@@ -76,7 +76,8 @@
     def hear(self, report: Report) -> None:
         """A machine's word of itself, asked for or not."""
         self.heard.heard(report, now())
-        self.peers.newest[report.ip] = report.decided.stamp
+        if report.holds:
+            self.peers.newest[report.ip] = report.decided.stamp
         self.proposer.meet(report.accepted)
         self.learn(report.decided, [report.ip])
 
