--- a/irisdeal/gauge/desk.py
+++ b/irisdeal/gauge/desk.py
@@ -63,7 +63,7 @@
         self.repeats: dict[str, Repeats] = {}
         self.ip, self.lend_from, self.members = settings.ip, lend_from, members
         self.pulse, self.terms = Pulse(STILL, self.born), Terms()
-        self.fence = 0  # totals of earlier intervals give us no part: we stood still behind them
+        self.fence = -1  # totals of earlier intervals give us no part: we stood still behind them
         self.borrowing: dict[str, tuple[str, asyncio.Future[None]]] = {}
         self.counting: dict[int, str] = {}  # door -> the connection over which it counted last
         self.denied: dict[str, float] = {}  # tenant -> until when no registry is asked to lend
--- a/irisdeal/squall/fleet.py
+++ b/irisdeal/squall/fleet.py
@@ -246,6 +246,7 @@
     def _start_gauge(self, gauge: int) -> None:
         self.down.discard(gauge)
         self.desks[gauge] = self._desk(gauge)
+        self.desks[gauge].at_change(self.change)  # its store knows it
 
     def freeze_gauges(self, at: float, count: int, until: float) -> None:
         """They stand still: all that comes waits, and is worked on before anything else once they go on."""
--- a/tests/test_fencing.py
+++ b/tests/test_fencing.py
@@ -260,3 +260,10 @@
         return not desk.borrowing
 
     assert asyncio.run(play())
+
+
+def test_one_that_starts_is_not_taken_for_one_that_stood_still() -> None:
+    """It has START of its depth at once, and is not told that it has none."""
+    pair = Pair()
+    assert pair.tokens(0).tokens >= START * 0.5 * Rule().depth(60.0, 60.0) - 1e-9
+    assert pair.tokens(0).share == 0.5
