--- a/tests/planted/store.py
+++ b/tests/planted/store.py
@@ -15,12 +15,13 @@
 
 from irisdeal.almanac.acceptor import Acceptor
 from irisdeal.almanac.contact import Contact
-from irisdeal.almanac.member import ANSWER, Member
+from irisdeal.almanac.member import Member
 from irisdeal.almanac.members import Members, ip_of, majority
 from irisdeal.almanac.peers import now
 from irisdeal.almanac.proposer import Proposer
 from irisdeal.almanac.register import Ballot, Kept, Outcome, Value, on_accept, on_prepare
 from irisdeal.almanac.report import Report
+from irisdeal.almanac.rounds import ANSWER, Rounds
 from irisdeal.almanac.word import Stamp, Word
 
 
@@ -69,21 +70,22 @@
     return await HANDLE(self, peer, kind, body)
 
 
-async def lease_from_answer(self: Member, ip: str) -> Report | None:
+async def lease_from_answer(self: Rounds, ip: str) -> Report | None:
     """Contact counts from when the answer came."""
     answer = await self.peers.call(ip, "state", self.report().tell(), 30 * ANSWER)
     if not isinstance(answer, Success):
         return None
-    report = self._heard(answer.unwrap())
+    report = Report.hear(answer.unwrap())
+    self.hear(report)
     self.contact.heard(report.seat, now())
     return report
 
 
 async def read_unsafe(self: Member) -> list[Any]:
     """The highest value that a majority tells of, decided or not."""
-    known = self._known()
-    heard = await asyncio.gather(*(self._ask(ip) for ip in sorted(known.ips() - {self.ip})))
-    reports = [self.report(), *(report for report in heard if report)]
+    known = self.rounds.members
+    heard = await asyncio.gather(*(self.rounds.ask(ip) for ip in sorted(known.ips() - {self.ip})))
+    reports = [self.rounds.report(), *(report for report in heard if report)]
     if not known.is_quorum(report.seat for report in reports):
         return [False, None]
     value = max(reports, key=lambda report: report.accepted).value
@@ -104,7 +106,8 @@
     given = await HANDLE(self, peer, kind, body)
     if kind == "accept" and given is not None and given[0]:
         self.force = Value.hear(body[2])
-        self._wake()
+        self.news.set()
+        self.news = asyncio.Event()
     return given
 
 
@@ -125,8 +128,9 @@
     return Outcome.CONFIRMED if await self.acceptor.hold(word) else Outcome.LATER
 
 
-def never_woke(self: Contact) -> None:
+def never_woke(self: Contact, now: float) -> bool:
     """A process that stood still goes on as before."""
+    return False
 
 
 HANDLE = Member.handle
@@ -137,7 +141,7 @@
     "accept after a higher promise": [(Acceptor, "accept", accept_after_higher)],
     "list changed with the old majority alone": [(Members, "is_quorum", old_majority_alone)],
     "learner counted": [(Members, "is_quorum", learner_counted), (Member, "handle", any_disk_answers)],
-    "lease from the answer": [(Member, "_ask", lease_from_answer), (Contact, "woke", never_woke)],
+    "lease from the answer": [(Rounds, "ask", lease_from_answer), (Contact, "tick", never_woke)],
     "read without making safe": [(Member, "read", read_unsafe)],
     "read alone": [(Member, "read", read_alone)],
     "body in force before decided": [(Member, "handle", force_undecided)],
