--- a/irisdeal/almanac/acceptor.py
+++ b/irisdeal/almanac/acceptor.py
@@ -126,7 +126,10 @@
         return True
 
     async def save(self) -> None:
-        """The decided value on the disk. OSError."""
+        """The decided value on the disk. OSError where the disk refuses."""
+        await self._whole(self._save())
+
+    async def _save(self) -> None:
         async with self.lock:
             if self.written != self.decided:
                 await self._write(self.kept)
--- a/irisdeal/almanac/member.py
+++ b/irisdeal/almanac/member.py
@@ -107,7 +107,8 @@
         """The body of what is decided, of the newest where there are several by then."""
         while self.force.change < self.acceptor.decided.change:
             value = self.acceptor.decided
-            held = [heard.report.ip for heard in self.rounds.heard.reports.values()
+            reports = sorted(self.rounds.heard.reports.values(), key=lambda heard: heard.at, reverse=True)
+            held = [heard.report.ip for heard in reports  # those first that answered last
                     if heard.report.holds and heard.report.decided.stamp == value.stamp]
             if await self.peers.body(value.stamp, [*dict.fromkeys([*ips, *held, *sorted(value.members.ips())])]):
                 self._enforce()
--- a/irisdeal/almanac/proposer.py
+++ b/irisdeal/almanac/proposer.py
@@ -29,7 +29,7 @@
 AGAIN = 0.05  # s before a seat is asked again whose connection ended
 PAUSE = 0.02  # s, the least pause after a lost ballot: half a ballot on quiet disks
 MOST_PAUSE = 0.32  # s: so that two pauses fit into the time that an order has
-MOST_ORDERS = 64  # that wait at once; eight are under way at most by the users' word
+MOST_ORDERS = 16  # that wait at once, each with its body; eight are under way at most by the users' word
 
 
 class Proposer:
@@ -171,12 +171,20 @@
             assert ballot.value is not None
             holders = [ip_of(seat) for seat, kept in ballot.promised.items()
                        if kept.value.stamp == ballot.value.stamp]
-            if ballot.value.stamp == NOTHING or await self.peers.body(ballot.value.stamp, holders) is not None:
+            if ballot.value.stamp == NOTHING or await self._body(ballot.value.stamp, holders, until):
                 await self._phase(ballot, Step.ACCEPTING, self._ask_accept, until)
         if ballot.step is Step.DECIDED:
             self.lasted = now() - begun
         return ballot
 
+    async def _body(self, stamp: Stamp, holders: list[str], until: float) -> bool:
+        """Whether the body that is to be proposed is here in time."""
+        try:
+            async with asyncio.timeout(max(0.0, until - now())):
+                return await self.peers.body(stamp, holders) is not None
+        except TimeoutError:
+            return False
+
     async def _phase(self, ballot: Round, step: Step, ask: Callable[[Round, str, asyncio.Event],
                                                                       Coroutine[Any, Any, None]],
                      until: float) -> None:
