--- a/irisdeal/almanac/member.py
+++ b/irisdeal/almanac/member.py
@@ -107,7 +107,8 @@
         """The body of what is decided, of the newest where there are several by then."""
         while self.force.change < self.acceptor.decided.change:
             value = self.acceptor.decided
-            held = [heard.report.ip for heard in self.rounds.heard.reports.values()
+            reports = sorted(self.rounds.heard.reports.values(), key=lambda heard: heard.at, reverse=True)
+            held = [heard.report.ip for heard in reports  # those first that answered last
                     if heard.report.holds and heard.report.decided.stamp == value.stamp]
             if await self.peers.body(value.stamp, [*dict.fromkeys([*ips, *held, *sorted(value.members.ips())])]):
                 self._enforce()
@@ -159,7 +160,7 @@
             given = await self.acceptor.accept(Ballot.hear(ballot), Value.hear(value))
         except OSError:
             return None
-        return [given[0], given[1].tell()] if given else [None, Have(self.acceptor.decided.stamp).tell()]
+        return [given[0], given[1].tell()] if given else [None, Have(self.peers.base()).tell()]
 
     def has_contact(self) -> bool:
         return self.rounds.has_contact()
