--- a/tests/test_members_counting.py
+++ b/tests/test_members_counting.py
@@ -8,12 +8,14 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from itertools import product
+from itertools import permutations, product
 
 import pytest
 import z3
 
 from irisdeal.almanac.members import Members
+from irisdeal.almanac.register import NO_BALLOT, Ballot, Kept, Round, Step, Value, set_members
+from irisdeal.almanac.word import NOTHING
 
 LARGEST = 9  # members of a list
 Bits = list[z3.BoolRef]  # a set of seats
@@ -204,3 +206,30 @@
     ({"by_known": True}, 4, 4), ({"base_alone": True}, 4, 5), ({"finishes": False}, 4, 5)])
 def test_wrong_rules_of_ballots_are_found(planted: dict[str, bool], seats: int, count: int) -> None:
     assert found(*Ballots(seats, count, **planted).breach())
+
+
+LISTS = [Members(0, ("a", "b", "c")), Members(1, ("b", "c", "d"), ("a", "b", "c")),
+         Members(1, ("b", "c", "d")), Members(2, ("b", "d"), ("b", "c", "d"))]
+NEXT = set_members(LISTS[1])
+
+
+@pytest.mark.parametrize(("known", "newer"), [(known, newer) for newer in LISTS for known in LISTS
+                                              if known.number <= newer.number])
+def test_a_round_counts_as_these_histories_do(known: Members, newer: Members) -> None:
+    """Whoever promises, in whatever order, and whoever of them accepted the newer list."""
+    old, accepted = Value(0, NOTHING, LISTS[0]), Value(3, NOTHING, newer)
+    for order in permutations("abcd"):
+        for takers in ("", "b", "cd"):
+            ballot, heard = Round(Ballot(9, "a"), known, NEXT), set[str]()
+            for name in order:
+                kept = Kept(Ballot(9, "a"), Ballot(5, "b"), accepted) if name in takers else Kept(
+                    Ballot(9, "a"), NO_BALLOT, old)
+                heard.add(name)
+                base = accepted if heard & set(takers) else old
+                step = ballot.on_promise(name, True, kept)
+                enough = known.is_quorum(heard) and base.members.is_quorum(heard)
+                assert (step is Step.ACCEPTING) is enough
+                if enough:
+                    assert ballot.base == base
+                    assert ballot.value == (NEXT(base) if base.members == known else base)
+                    break
