--- a/irisdeal/almanac/succession.py
+++ b/irisdeal/almanac/succession.py
@@ -18,7 +18,8 @@
 6. A list that could not stand the loss of a zone or region that must be borne changes a member of the fullest
    one for a ready learner elsewhere, where that helps.
 7. More than `most`: one goes, the dead first.
-8. A member that others brought in though the proposer does not hear it is not dead: the way to it is cut.
+8. A member that others brought in though the proposer does not hear it is not dead (for `VOUCHED`): it is the way
+   to it that is cut, and to propose against it again and again would change the list without end.
 9. No change whose new list or old list has no live majority, and none to a list shorter than `least` (unless
    the old one was as short). Learners count nowhere; one that is leaving becomes no member.
 
@@ -59,6 +60,7 @@
 MANY = 5  # members that vote where nothing asks for more
 MOST = 9  # members at most, whatever is asked for
 EMPTY = 15.0  # s without anyone who knows a list, after which all disks count as lost: any start is over by then
+VOUCHED = 60.0  # s for which a member that others brought in counts as heard by them
 FORGOTTEN = 60.0  # s after which a silent learner is forgotten
 MOST_HEARD = 256  # seats remembered: ten times the largest core
 
@@ -313,14 +315,14 @@
         self.wanted_at = now
         self.told: frozenset[tuple[int, str]] = frozenset()  # (event, seat) that hold now and were told
         self.list: Members | None = None  # the one that was decided last, as far as this process knew
-        self.vouched: Seats = frozenset()
+        self.vouched: dict[str, float] = {}  # seat -> until when
 
     def heard(self, report: Report, now: float) -> None:
         """A seat's word of itself, also the own seat's."""
         known = self.reports.get(report.seat)
         steady = known is not None and now - known.at < DEAD
         self.reports[report.seat] = Heard(now, report, known.since if known is not None and steady else now)
-        self.vouched -= {report.seat}
+        self.vouched.pop(report.seat, None)
 
     def woke(self, now: float) -> None:
         """The process stood still: what it did not hear meanwhile is no silence."""
@@ -330,7 +332,8 @@
         """What this member is to propose now."""
         self._forget(decided, now)
         self._vouch(decided.members, own, now)
-        found = next_members(decided, self.reports, own, now, wanted, self.since, self.vouched)
+        vouched = frozenset(seat for seat, until in self.vouched.items() if now < until)
+        found = next_members(decided, self.reports, own, now, wanted, self.since, vouched)
         if found is None:
             self.wanting = None
             return None
@@ -357,12 +360,12 @@
         return fresh
 
     def _vouch(self, members: Members, own: str, now: float) -> None:
-        """Whoever was brought in though we do not hear it is heard by others: it is the way to us that is cut. To
-        propose against them again and again would change the list without end."""
+        """Rule 8."""
         if self.list is not None and self.list != members:
             fresh = members.voters() - self.list.voters() - {own}
             silent = {seat for seat in fresh if seat not in self.reports or now - self.reports[seat].at >= QUIET}
-            self.vouched = (self.vouched | silent) & members.voters()
+            self.vouched.update(dict.fromkeys(silent, now + VOUCHED))
+            self.vouched = {seat: until for seat, until in self.vouched.items() if seat in members.voters()}
         self.list = members
 
     def _forget(self, decided: Value, now: float) -> None:
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -241,6 +241,17 @@
     assert world.changes_since(BEGUN + 60.0) <= 1 and len(world.value.members.seats) == min(5, cores)
 
 
+def test_a_member_that_only_a_dead_one_heard_is_not_kept_for_ever() -> None:
+    watch, old = Watch(0.0), first("a", "b", "c")
+    new = Value(2, old.stamp, Members(1, ("b/first", "c/first", "d/x")))
+    for value, at in ((old, 10.0), (new, 10.5), (new, 69.0), (new, 71.0)):
+        for name in ("b/first", "c/first", "e/x"):
+            watch.heard(Report(name, "z", NO_BALLOT, value, value, True), at)
+        found = watch.next(value, "b/first", at, Wanted())
+        if value is new:
+            assert (found is not None) is (at > 70.5)
+
+
 @pytest.mark.parametrize("cores", CORES)
 def test_a_successor_comes_in_while_orders_go_on(cores: int) -> None:
     """160 in 22 s with a member gone for good."""
