--- a/irisdeal/vane/door.py
+++ b/irisdeal/vane/door.py
@@ -11,9 +11,6 @@
 import random
 from dataclasses import dataclass
 
-from returns.result import Failure
-
-from irisdeal.almanac.model import read
 from irisdeal.almanac.word import Word
 from irisdeal.barometer.budget import Repeats
 from irisdeal.barometer.gate import Gate
@@ -30,6 +27,7 @@
 from irisdeal.mast.events import invariant, tell
 from irisdeal.mast.process import Tasks
 from irisdeal.mast.settings import Settings, address
+from irisdeal.vane.applying import Applying
 from irisdeal.vane.backends import End, Outcome, Pool
 from irisdeal.vane.sources import Sources
 from irisdeal.vane.table import Route, Table
@@ -104,6 +102,8 @@
         self.chance = random.Random()
         self.table: Table | None = None
         self.has_table = asyncio.Event()
+        self.tasks = Tasks()
+        self.applying = Applying(self._in_force, self.tasks)
         self.sources = Sources(settings, self._on_word, self._on_life)
         self.wind = Wind(self.chance)
         self.backends: dict[str, Backend] = {}
@@ -114,6 +114,7 @@
         self.gate = Gate()
         self.repeats: dict[str, Repeats] = {}
         self.doors, self.counted = FIRST_DOORS, False
+        self.total = -1  # the newest finished one that was taken over
         self.edge = Edge(self.loop.time())
         self.spread = LENGTH * (LEAST_SPREAD + (MOST_SPREAD - LEAST_SPREAD) * self.chance.random())
         self.rule = Rule(
@@ -122,7 +123,6 @@
         self.pool = Pool(self.loop, max(64, settings.limits.max_fds - BODY_LIMIT) // 2)
         self.front = HttpServer(self.serve, self.loop)
         self.readiness = HttpServer(self._ready, self.loop)
-        self.tasks = Tasks()
         self.leaving = False
 
     # What a process does
@@ -160,19 +160,20 @@
     # News
 
     def _on_word(self, word: Word) -> None:
-        checked = read(word.body)
-        if isinstance(checked, Failure):
-            return tell(406, trouble=checked.failure())
-        configuration = checked.unwrap()
-        self.table = Table(configuration)
+        self.applying.take(word)
+
+    def _in_force(self, table: Table) -> None:
+        """Requests that come from now on run by this table."""
+        self.table = table
         self.has_table.set()
-        for name, tenant in self.table.tenants.items():
-            if name in self.quotas:
-                self.quotas[name].change(tenant.rate_per_s, tenant.burst)
-        bounds, limits = self.front.bounds, configuration.limits
+        for name, quota in self.quotas.items():
+            tenant = table.tenants.get(name)
+            if tenant is not None:
+                quota.change(tenant.rate_per_s, tenant.burst)
+        bounds, limits = self.front.bounds, table.limits
         bounds.head, bounds.body = limits.max_header_bytes, limits.max_body_bytes
         bounds.head_time, bounds.idle_time = limits.header_timeout_ms / 1000, limits.idle_timeout_ms / 1000
-        tell(400, generation=configuration.generation)
+        tell(400, generation=table.generation)
 
     def _on_life(self, life: Life, silent: bool) -> None:
         backend = self.backends.get(life.id)
@@ -220,7 +221,8 @@
             position, doors, finished, total = told
             self.edge.hear(position, self.loop.time())
             self.doors, self.counted = max(1, doors), True
-            if finished >= 0:
+            if finished > self.total:  # a registry that lags, or stood still, tells an older one
+                self.total = finished
                 self._told(words.get(finished, {}), total)
 
     def _word(self, now: float) -> Figures:
@@ -418,7 +420,7 @@
         if number == OVER_BUDGET[0] or (not number and hold <= 0):
             return None
         backend = self.backends.get(id_)
-        if backend is not None and not backend.draining:
+        if backend is not None and not backend.draining and id_ not in tried:
             return Placed(backend, crowd, source, number)
         if number:
             self.sources.place_ended(source, [number, int(How.UNKNOWN), 0.0])
