--- a/irisdeal/almanac/peers.py
+++ b/irisdeal/almanac/peers.py
@@ -50,9 +50,11 @@
     async def bring(self, ip: str, word: Word, have: Have) -> bool:
         """Whether this body is there now, synced, in as many parcels as it takes. `have`: what it said last."""
         for _ in range(MOST_PARCELS):
+            if not self.acceptor.shelf.has(word.stamp.digest):
+                self.acceptor.shelf.hold(word)  # it may have been put off the shelf
             parcel = self.acceptor.shelf.parcel(have, word.stamp)
             if parcel is None:
-                parcel = [word.stamp.number, word.stamp.digest, word.body]
+                return False
             answer = await self.call(ip, "bring", parcel, PARCEL)
             if not isinstance(answer, Success):
                 return False
@@ -102,7 +104,8 @@
         word = self.acceptor.word(stamp)
         if word is None:
             return None
-        self.acceptor.shelf.hold(word)  # needed ones may have been put off the shelf
+        if not self.acceptor.shelf.has(stamp.digest):
+            self.acceptor.shelf.hold(word)  # needed ones may have been put off the shelf
         return self.acceptor.shelf.parcel(Have.hear(have), stamp)
 
     async def body(self, stamp: Stamp, ips: list[str]) -> Word | None:
