--- /dev/null
+++ b/tests/test_station.py
@@ -0,0 +1,206 @@
+"""A registry's process beside stand-in stores: when it counts as a source, and what operators hear."""
+
+from __future__ import annotations
+
+import itertools
+import json
+from collections.abc import Awaitable, Callable, Coroutine
+from functools import partial
+from typing import Any
+
+import pytest
+
+from irisdeal.almanac.shelf import Have
+from irisdeal.gauge import store
+from irisdeal.gauge.registry import Life, State, hear_life
+from irisdeal.gauge.station import LEARN, Station
+from irisdeal.http1.server import Answer, Request
+from irisdeal.mast.settings import Bind, Settings
+from irisdeal.sim.machine import Machine
+from tests.core_rig import CoreRig, settings_of
+
+WAY = 0.04  # s there and back with the work at both ends
+
+
+class StationRig(CoreRig):
+    """With whole registries in place of those that only tell news."""
+
+    def __init__(self, count: int, seed: int = 1) -> None:
+        self.stations: dict[str, Station] = {}
+        self.heard: list[tuple[float, Any]] = []
+        super().__init__(count, 0, seed)
+
+    def settings(self, ip: str) -> Settings:
+        of = settings_of(ip, self.hosts)
+        return Settings(node_name=of.node_name, role="gauge", ip=ip, zone=of.zone, port_range=of.port_range,
+                        seed_peers=of.seed_peers, bind=Bind(control=f"{ip}:8000"))
+
+    def start_post(self, host: str) -> Machine:
+        async def run() -> int:
+            station = self.stations[host] = Station(self.settings(host))
+            await station.start()
+            await station.loop.create_future()
+            return 0
+
+        def make() -> Coroutine[Any, Any, int]:
+            return run()
+
+        return self.process(host, make)
+
+    def start_registry(self, host: str) -> None:
+        self.start_post(host)
+
+    def on(self, seconds: float, host: str, act: Callable[[Station], Awaitable[Any]]) -> None:
+        """At this second in this registry's process; what it gives is in `heard`, with when."""
+        def begin() -> None:
+            station, machine = self.stations[host], self.machines[host][-1]
+
+            async def run() -> None:
+                answer = await act(station)
+                self.heard.append((self.world.seconds(), answer))
+
+            machine.call_soon(lambda: station.tasks.start(run()))
+
+        self.at(seconds, begin)
+
+    def ask(self, seconds: float, host: str, method: bytes, target: bytes, body: bytes = b"") -> None:
+        def act(station: Station) -> Awaitable[Answer]:
+            return station.outside(Request(method, target, [], body, station.loop.time()))
+
+        self.on(seconds, host, act)
+
+
+def beat(state: str = "ready", count: int = 1) -> bytes:
+    return json.dumps({
+        "service": "s", "address": "10.9.0.1:80", "zone": "z0", "generation": "v1", "capacity": 2,
+        "state": state, "warmup_left_ms": 0, "call_count": count}).encode()
+
+
+def news_of(station: Station) -> Awaitable[list[Any]]:
+    """What a door that knows nothing is told."""
+    return station.news.answer(Have().tell(), 0, 0, -1)
+
+
+def states(told: list[Any]) -> dict[str, State]:
+    lives = (hear_life(life, 0.0) for life, _ in told[3])
+    return {life.id: life.state for life in lives}
+
+
+def watch_news(rig: StationRig, host: str, since: float, until: float) -> None:
+    at = since
+    while at < until:
+        rig.on(at, host, news_of)
+        at += 0.02
+
+
+def drained_and_then(rig: StationRig, at: float) -> None:
+    """A backend beats, and says at this second that it drains; which is acknowledged."""
+    rig.ask(2.0, rig.hosts[1], b"POST", b"/backends/i-1/heartbeat", beat())
+    rig.ask(at, rig.hosts[1], b"POST", b"/backends/i-1/heartbeat", beat("draining", 2))
+
+
+def shown(rig: StationRig, since: float) -> list[tuple[float, list[Any]]]:
+    return [(at, told) for at, told in rig.heard if at >= since and isinstance(told, list)]
+
+
+@pytest.mark.parametrize("how", ["restarted", "frozen", "cut off"])
+def test_a_registry_that_was_away_counts_only_once_it_knows_the_ends_that_were_acknowledged(how: str) -> None:
+    rig = StationRig(3)
+    away = rig.hosts[0]
+    match how:
+        case "restarted":
+            rig.at(4.0, partial(rig.kill, away))
+            rig.at(8.0, partial(rig.start, away))
+        case "frozen":
+            rig.at(4.0, partial(rig.freeze, away, 4.0))
+        case "cut off":
+            rig.at(4.0, partial(rig.cut, away))
+            rig.at(8.0, rig.net.join)
+    drained_and_then(rig, 5.0)
+    watch_news(rig, away, 8.001, 11.0)
+    rig.play(11.1)
+    told = shown(rig, 8.0)
+    assert [answer.status for _, answer in rig.heard if isinstance(answer, Answer)] == [200, 200]
+    full = [(at, states(one)) for at, one in told if one[5] >= 0]
+    assert full and all(lives == {"i-1": State.DRAINING} for _, lives in full), full[0]
+    assert full[0][0] <= 8.0 + 1.25 * store.SEEK + store.ANSWER + 10 * WAY
+
+
+def test_a_registry_that_can_hear_too_few_goes_on_after_a_while(caplog: pytest.LogCaptureFixture) -> None:
+    """Two of three registries are gone for good, the stores are well: nobody may wait for ever."""
+    caplog.set_level("INFO", "irisdeal")
+    rig = StationRig(3)
+    away, *rest = rig.hosts
+    for host in rest:
+        rig.at(3.0, rig.machines[host][1].kill)
+    rig.at(4.0, lambda: rig.machines[away].pop(1).kill())
+    rig.at(5.0, partial(rig.start_registry, away))
+    watch_news(rig, away, 5.1, 9.0)
+    rig.play(9.1)
+    full = [at for at, told in shown(rig, 5.0) if told[5] >= 0]
+    assert 5.0 + LEARN - 0.1 <= full[0] <= 5.0 + LEARN + 3 * store.ANSWER
+    assert sum("E317" in record.getMessage() for record in caplog.records) == 1
+
+
+@pytest.mark.parametrize("count", range(1, 8))
+def test_enough_were_heard_when_every_majority_has_a_member_among_them(count: int) -> None:
+    """The rule of `_learn` by counting: any majority that was told, the one that forgot among it or not."""
+    seats = set(range(count))
+    majorities = [set(some) for some in itertools.combinations(seats, count // 2 + 1)]
+    for size in range(count):
+        for some in itertools.combinations(seats - {0}, size):
+            heard = set(some)
+            missing = {0} | (seats - heard)
+            is_enough = len(missing) < count // 2 + 1
+            assert is_enough == all(told & heard for told in majorities)
+
+
+def test_orders_and_reads_without_contact_get_503_with_when_to_come_back_and_invalid_ones_400() -> None:
+    rig = StationRig(3)
+    host = rig.hosts[0]
+    rig.at(4.0, partial(rig.cut, host))
+    valid = json.dumps({"generation": "r9", "sockets": [], "pools": []}).encode()
+    rig.ask(7.0, host, b"POST", b"/config/replace", valid)
+    rig.ask(7.1, host, b"GET", b"/config/read")
+    rig.ask(7.2, host, b"POST", b"/config/replace", b"{")
+    rig.ask(7.3, host, b"GET", b"/status")
+    rig.at(8.0, rig.net.join)
+    rig.ask(10.0, host, b"POST", b"/config/replace", valid)
+    rig.play(11.0)
+    put, read, invalid, status, again = (answer for _, answer in rig.heard)
+    for answer in (put, read):
+        assert answer.status == 503
+        assert dict(answer.headers)[b"Retry-After"] == b"%.1f" % store.AGAIN
+        assert json.loads(answer.body)["retry_after_s"] == store.AGAIN
+    assert [at for at, _ in rig.heard[:2]] == pytest.approx([7.0, 7.1]), "it is said at once"
+    assert invalid.status == 400
+    assert json.loads(status.body)["contact_age_s"] is None
+    assert again.status == 200
+
+
+def test_another_body_under_a_decided_number_is_a_409() -> None:
+    rig = StationRig(3)
+    host = rig.hosts[0]
+    rig.at(3.0, lambda: setattr(rig.stores[host], "outcome", 2))
+    rig.ask(4.0, host, b"POST", b"/config/replace", b'{"generation": "r9", "sockets": [], "pools": []}')
+    rig.play(5.0)
+    assert [answer.status for _, answer in rig.heard] == [409]
+
+
+def test_a_machine_that_left_is_told_nothing_and_no_backend_is_sent_to_it() -> None:
+    rig = StationRig(3)
+    one, other, gone = rig.hosts
+    rig.play(2.0)
+    station = rig.stations[one]
+    assert station.zones.keys() == set(rig.hosts) and gone in station.links
+    rig.ask(2.1, one, b"POST", b"/backends/i-2/heartbeat", beat().replace(b'"z0"', b'"z2"'))
+    before = rig.first.members
+    members = before.change([seat for seat in before.seats if gone not in seat]).settled()
+    rig.at(3.0, partial(rig.decide, 1, [one, other], members))
+    rig.at(3.0, partial(rig.kill, gone))
+    rig.ask(4.0, one, b"POST", b"/backends/i-2/heartbeat", beat(count=2).replace(b'"z0"', b'"z2"'))
+    rig.play(5.0)
+    first, second = (json.loads(answer.body) for _, answer in rig.heard)
+    assert first == {"beat_target": f"{gone}:8000"} and second == {}
+    assert gone not in station.links and gone not in station.zones
+    assert station.registry.hear(Life("i-3", "s", "a:1", "z0", 1, State.READY, 1, 0.0), 1.0)
