--- a/tests/test_gauge_store.py
+++ b/tests/test_gauge_store.py
@@ -333,3 +333,15 @@
     told = ask_news(rig, host, 4.0, 0)
     rig.play(5.0)
     assert told[0][1][5] == -1
+
+
+def test_what_is_known_is_as_of_the_asking() -> None:
+    rig = CoreRig(3, 0)
+    follower = follower_of(rig)
+    follower.as_of = 0.0
+    host, value = rig.hosts[0], follower.value
+    ear = follower._hear(host, Have(), 1002.0, None, value, frozenset(), 300)
+    assert ear is store.Ear.GOOD
+    assert follower.as_of == pytest.approx(1001.7), "however late the answer came"
+    ear = follower._hear(host, Have(), 1002.5, None, value, frozenset(), -1)
+    assert ear is store.Ear.NO_CONTACT and follower.as_of == pytest.approx(1001.7)
