--- a/irisdeal/almanac/peers.py
+++ b/irisdeal/almanac/peers.py
@@ -92,8 +92,8 @@
             if not isinstance(answer, Success) or answer.unwrap() is None:
                 return None
             word = arrivals.take(answer.unwrap())
-            if word is not None:
-                return word if word.stamp == stamp and await self.acceptor.hold(word) else None
+            if word is not None and word.stamp == stamp:
+                return word if await self.acceptor.hold(word) else None
             if arrivals.have(self.acceptor.decided.stamp) == have:
                 return None
         return None
--- a/irisdeal/almanac/reading.py
+++ b/irisdeal/almanac/reading.py
@@ -282,6 +282,7 @@
                 old, make = makes[key]
                 lists[key], new[key], end = yield from self.items(at, 0, old, make)
                 parts[key] = tuple(lists[key].values)
+                yield
                 return end
             data, end = self.decode(self.text, at)
             if key in ("pools", "sockets") or (key == "tenants" and data is not None):
@@ -337,8 +338,10 @@
         return Success(before)
     try:
         scan = _Scan(body, before)
+        yield
         configuration, outline = yield from scan.configuration()
         based = before.index if before is not None and scan.outline is not None else Index()
+        yield
         index = yield from based.changing(scan.changes)
         yield from _check(configuration, index, scan.changes)
         return Success(Reading(body, configuration, index, outline))
--- a/irisdeal/almanac/shelf.py
+++ b/irisdeal/almanac/shelf.py
@@ -14,7 +14,8 @@
    already changes nothing.
 3. Whatever cannot be used ends in the whole being asked for anew: nothing can keep a caller from the newest word.
 4. A body that a caller is in the middle of is kept while it is asked for, so that changes that go on do not make
-   it begin anew; the difference to the newest follows.
+   it begin anew; the difference to the newest follows. Callers that take an older word first (`by_snapshot`) all
+   begin with the same one, the snapshot, as long as the difference from it to the newest is small beside it.
 """
 
 from __future__ import annotations
@@ -36,6 +37,7 @@
 MOST_DIFFERENCE = 48 << 10  # bytes of a packed difference in one piece
 SMALLER = 4  # times that a packed difference must be smaller than the body: packed, that is as much itself
 MOST_PACKED = 8 << 20  # bytes of packed pieces and differences that are kept to be told again
+FRESH = 64  # times that the packed difference from the snapshot to the newest must be smaller than the body
 STUBBORN = 3  # parcels in a row that were no use; at the next one, what is on its way is given up
 
 
@@ -68,12 +70,15 @@
 class Shelf:
     """The last bodies that this process held, within bounds.
 
-    At most the newest and `MOST_WHOLE` others are whole; `KEPT` and all packed ones take 12 MB: 45 MB in all with
-    bodies of 10 MB, 2 MB with those of 0.3 MB.
+    At most the newest, the snapshot and `MOST_WHOLE` others are whole; differences and what is packed take 12 MB:
+    53 MB in all with bodies of 10 MB, and 2 MB with those of 0.3 MB.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, kept: int = KEPT) -> None:
+        """`kept`: words before the newest; 0 for who tells no others."""
+        self.kept = kept
         self.newest: Word | None = None
+        self.snapshot: Word | None = None
         self.older: list[tuple[Stamp, bytes, int]] = []  # the last first: as differences, and lengths
         self.whole: OrderedDict[bytes, Word] = OrderedDict()
         self.packed: OrderedDict[tuple[bytes, bytes, int], bytes] = OrderedDict()  # digest, base, place
@@ -85,6 +90,8 @@
             self.newest = word
             return
         before, self.newest = self.newest, word
+        if self.kept == 0:
+            return
         try:
             back = difference(word.body, before.body)
         except NoDifference:
@@ -92,7 +99,7 @@
             self._keep_whole(before)
             return
         self.older.insert(0, (before.stamp, back, len(before.body)))
-        while len(self.older) > KEPT or sum(len(packed) for _, packed, _ in self.older) > MOST_KEPT:
+        while len(self.older) > self.kept or sum(len(packed) for _, packed, _ in self.older) > MOST_KEPT:
             self.older.pop()
 
     def _keep_whole(self, word: Word) -> None:
@@ -102,12 +109,17 @@
             self.whole.popitem(last=False)
 
     def has(self, digest: bytes) -> bool:
-        return digest in self.whole or any(stamp.digest == digest for stamp, _, _ in self.older) or (
-            self.newest is not None and self.newest.stamp.digest == digest)
+        return digest in self.whole or self._is(self.snapshot, digest) or self._is(self.newest, digest) or any(
+            stamp.digest == digest for stamp, _, _ in self.older)
+
+    @staticmethod
+    def _is(word: Word | None, digest: bytes) -> bool:
+        return word is not None and word.stamp.digest == digest
 
     def get(self, digest: bytes) -> Word | None:
-        if self.newest is not None and self.newest.stamp.digest == digest:
-            return self.newest
+        for word in (self.newest, self.snapshot):
+            if word is not None and word.stamp.digest == digest:
+                return word
         if digest in self.whole:
             self.whole.move_to_end(digest)
             return self.whole[digest]
@@ -122,11 +134,11 @@
                 return word
         return None
 
-    def parcel(self, have: Have, want: Stamp) -> list[Any] | None:
+    def parcel(self, have: Have, want: Stamp, by_snapshot: bool = False) -> list[Any] | None:
         """The next parcel of this word for a caller that has that; None where the body is not here.
 
         A caller that is in the middle of another, newer than what it has, may get the next piece of that one: its
-        difference to what is wanted comes after it, and is short.
+        difference to what is wanted comes after it, and is short. `by_snapshot`: it may begin with an older one.
         """
         word = self.get(want.digest)
         if word is None or len(word.body) > MOST_BODY:
@@ -141,7 +153,22 @@
             other = self.get(have.arriving.digest)
             if other is not None and 0 < have.offset < len(other.body):
                 return self._piece(other, have.offset)
-        return self._piece(word, have.offset if going_on and have.arriving == want else 0)
+        if going_on and have.arriving == want:
+            return self._piece(word, have.offset)
+        return self._piece(self._snapshot(word, have.stamp) if by_snapshot else word, 0)
+
+    def _snapshot(self, word: Word, above: Stamp) -> Word:
+        """What a caller begins with that wants this word and has nothing near it: the snapshot, above what it has;
+        renewed where it is far from the word by now."""
+        before = self.snapshot
+        if before is not None and above < before.stamp < word.stamp:
+            packed = self._difference(before.stamp.digest, word)
+            if packed is not None and len(packed) * FRESH <= len(word.body):
+                return before
+        if before is not None and before.stamp < word.stamp:
+            self._keep_whole(before)  # some may be in the middle of it
+        self.snapshot = word
+        return word
 
     def _piece(self, word: Word, offset: int) -> list[Any]:
         length, digest = len(word.body), word.stamp.digest
@@ -217,11 +244,9 @@
     def have(self, stamp: Stamp) -> Have:
         """What to say when asking; `stamp`: the newest word that is held."""
         self.held = stamp
-        base = max(stamp, self.last)
+        base = self.last if self.from_nothing else max(stamp, self.last)
         if self.shelf.has(self.stamp.digest) or (self.base and self.base != base.digest):
             self._begin(NOTHING, 0, b"", 0)
-        if self.from_nothing and not self.got:
-            return Have()
         return Have(base, self.stamp, -len(self.got) if self.base else len(self.got))
 
     def take(self, parcel: list[Any]) -> Word | None:
@@ -246,12 +271,12 @@
             self.no_use += 1
             if isinstance(error, AnotherWord) or self.no_use > STUBBORN:
                 self._begin(NOTHING, 0, b"", 0)
-                self.from_nothing, self.no_use = True, 0
+                self.last, self.from_nothing, self.no_use = NOTHING, True, 0
             return None
 
     def _take(self, stamp: Stamp, length: int, base: bytes, size: int, offset: int, piece: bytes) -> Word | None:
         if self.shelf.has(stamp.digest):  # from another source, a moment ago
-            self.from_nothing = False
+            self._came(stamp)
             return self.shelf.get(stamp.digest)
         if (stamp, length, base, size) != (self.stamp, self.length, self.base, self.size):
             goes_on = bool(self.got) and not self.base and self.stamp > self.held and self.no_use < STUBBORN
@@ -288,6 +313,13 @@
             raise AnotherWord("whole by its length, another by its digest")
         word = Word(self.stamp, body)
         self._begin(NOTHING, 0, b"", 0)
-        self.last, self.from_nothing = word.stamp, False
+        self._came(word.stamp)
         self.shelf.hold(word)
         return word
+
+    def _came(self, stamp: Stamp) -> None:
+        """It is whole here: a base, the only one told after something could not be used, until a word is as new as
+        the one that is held."""
+        self.last = stamp
+        if stamp >= self.held:
+            self.from_nothing = False
--- a/irisdeal/gauge/news.py
+++ b/irisdeal/gauge/news.py
@@ -51,7 +51,7 @@
                 pass
         now, follower = self.loop.time(), self.follower
         stamp = follower.stamp
-        parcel = follower.shelf.parcel(has, stamp) if stamp.number > has.stamp.number else None
+        parcel = follower.shelf.parcel(has, stamp, by_snapshot=True) if stamp.number > has.stamp.number else None
         is_newest = parcel is None or (parcel[0], parcel[1]) == (stamp.number, stamp.digest)
         return [parcel, self.life, self.registry.number,
                 [[tell_life(entry.life, now), entry.silent] for entry in self.registry.since(known)],
--- a/irisdeal/vane/sources.py
+++ b/irisdeal/vane/sources.py
@@ -58,7 +58,7 @@
         self.settings, self.on_word, self.on_life = settings, on_word, on_life
         self.loop = asyncio.get_running_loop()
         self.chance = random.Random(settings.ip)
-        self.arrivals = Arrivals(Shelf())
+        self.arrivals = Arrivals(Shelf(kept=0))
         self.word: Word | None = None
         self.change = -1  # of the newest word that is here
         self.as_of = float("-inf")  # we know all that was decided by then
--- a/tests/test_shelf.py
+++ b/tests/test_shelf.py
@@ -214,6 +214,50 @@
     assert size < len(words[-1].body)
 
 
+def test_callers_that_begin_while_changes_go_on_share_one_snapshot(monkeypatch: pytest.MonkeyPatch) -> None:
+    """One more caller with each change, a piece at a time for each: all are done soon, packed once."""
+    monkeypatch.setattr(shelves, "PIECE", 12 << 10)
+    words = versions(50, routes=400)
+    pieces = -(-len(words[0].body) // (12 << 10))
+    shelf, callers = Shelf(), list[tuple[Arrivals, int]]()
+    held: dict[int, Word] = {}
+    packed = set()
+    for number, newest in enumerate(words):
+        shelf.hold(newest)
+        if number < 20:
+            callers.append((Arrivals(Shelf(kept=0)), number))
+        for arrivals, begun in callers:
+            stamp = held[begun].stamp if begun in held else NOTHING
+            if stamp != newest.stamp:
+                parcel = shelf.parcel(arrivals.have(stamp), newest.stamp, by_snapshot=True) or []
+                packed |= {parcel[1]} if not parcel[3] else set()
+                got = arrivals.take(parcel)
+                held.update({begun: got} if got else {})
+            if number > begun + pieces:
+                assert held[begun] == newest
+    assert packed == {words[0].stamp.digest}
+
+
+def test_a_snapshot_far_from_the_newest_is_renewed_and_who_is_in_its_middle_ends_it() -> None:
+    one, two = noise(1, 3 * PIECE), noise(2, 3 * PIECE)
+    shelf, early, late = holding(one), Arrivals(Shelf()), Arrivals(Shelf())
+    early.take(shelf.parcel(early.have(NOTHING), one.stamp, by_snapshot=True) or [])
+    shelf.hold(two)
+    parcel = shelf.parcel(late.have(NOTHING), two.stamp, by_snapshot=True) or []
+    assert parcel[1] == two.stamp.digest
+    parcel = shelf.parcel(early.have(NOTHING), two.stamp, by_snapshot=True) or []
+    assert parcel[1] == one.stamp.digest and parcel[5] == PIECE
+    assert len(shelf.whole) <= MOST_WHOLE
+
+
+def test_who_tells_no_others_keeps_the_newest_alone() -> None:
+    one, two = versions(2)
+    arrivals, shelf = Arrivals(Shelf(kept=0)), holding(one, two)
+    arrivals.shelf.hold(one)
+    assert carry(shelf, arrivals, one, two, most=1)[0] == two
+    assert arrivals.shelf.get(one.stamp.digest) is None and not arrivals.shelf.whole
+
+
 def test_who_is_behind_is_told_the_newest_only() -> None:
     words = versions(12)
     shelf, arrivals = holding(*words), Arrivals(holding(words[0]))
@@ -299,6 +343,28 @@
     assert carry(shelf, arrivals, one, two)[0] == two
 
 
+def test_a_difference_that_never_comes_out_right_is_gone_round_by_the_snapshot(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A holder whose difference between two words is wrong each time."""
+    one, two, three = versions(3)
+    shelf = holding(one)
+    shelf.parcel(Have(), one.stamp, by_snapshot=True)
+    shelf.hold(two)
+    shelf.hold(three)
+    wrong = difference(b"", bytes(len(three.body)))
+    shelf._pack(three.stamp.digest, two.stamp.digest, -1, wrong)
+    arrivals = Arrivals(holding(two))
+    told = []
+    for _ in range(4):
+        have = arrivals.have(two.stamp)
+        told.append(have.stamp)
+        if arrivals.take(shelf.parcel(have, three.stamp, by_snapshot=True) or []) == three:
+            break
+    assert told == [two.stamp, NOTHING, one.stamp] and arrivals.shelf.newest == three
+    assert arrivals.have(three.stamp) == Have(three.stamp)
+
+
 def test_a_base_that_is_not_here_is_no_use_and_the_whole_comes() -> None:
     one, two = versions(2)
     shelf, arrivals = holding(one, two), Arrivals(Shelf())  # it says that it has one, whose body is gone
