--- a/irisdeal/almanac/member.py
+++ b/irisdeal/almanac/member.py
@@ -159,7 +159,7 @@
             given = await self.acceptor.accept(Ballot.hear(ballot), Value.hear(value))
         except OSError:
             return None
-        return [given[0], given[1].tell()] if given else [None, Have(self.acceptor.decided.stamp).tell()]
+        return [given[0], given[1].tell()] if given else [None, Have(self.peers.base()).tell()]
 
     def has_contact(self) -> bool:
         return self.rounds.has_contact()
--- a/irisdeal/almanac/peers.py
+++ b/irisdeal/almanac/peers.py
@@ -19,7 +19,7 @@
 
 PARCEL = 2.0  # s for one parcel: 64 KB on a link of 2 Mbit/s take 0.3, and the other's disk may be in trouble
 MOST_PARCELS = 400  # of one body: over 20 MB of pieces
-MOST_ARRIVING = 16  # callers whose bodies are on their way at once
+MOST_ARRIVING = 6  # bodies that are brought at once: of up to 16 MB each
 
 
 class Peers:
@@ -47,12 +47,15 @@
 
     # Bodies
 
+    def base(self) -> Stamp:
+        """The newest body that is here: what a difference may be told against."""
+        newest = self.acceptor.shelf.newest
+        return newest.stamp if newest is not None else NOTHING
+
     async def bring(self, ip: str, word: Word, have: Have) -> bool:
         """Whether this body is there now, synced, in as many parcels as it takes. `have`: what it said last."""
         for _ in range(MOST_PARCELS):
-            if not self.acceptor.shelf.has(word.stamp.digest):
-                self.acceptor.shelf.hold(word)  # it may have been put off the shelf
-            parcel = self.acceptor.shelf.parcel(have, word.stamp)
+            parcel = self._parcel(have, word)
             if parcel is None:
                 return False
             answer = await self.call(ip, "bring", parcel, PARCEL)
@@ -81,20 +84,20 @@
             while len(self.arriving) > MOST_ARRIVING:
                 del self.arriving[next(iter(self.arriving))]
         whole = word is not None and await self.acceptor.hold(word)
-        return [whole, arrivals.have(self.acceptor.decided.stamp).tell()]
+        return [whole, arrivals.have(self.base()).tell()]
 
     async def fetch(self, ip: str, stamp: Stamp) -> Word | None:
         """This body from there, synced here; None where it is not there or our disk refuses."""
         arrivals = Arrivals(self.acceptor.shelf)
         for _ in range(MOST_PARCELS):
-            have = arrivals.have(self.acceptor.decided.stamp)
+            have = arrivals.have(self.base())
             answer = await self.call(ip, "fetch", [have.tell(), stamp.number, stamp.digest], PARCEL)
             if not isinstance(answer, Success) or answer.unwrap() is None:
                 return None
             word = arrivals.take(answer.unwrap())
             if word is not None and word.stamp == stamp:
                 return word if await self.acceptor.hold(word) else None
-            if arrivals.have(self.acceptor.decided.stamp) == have:
+            if word is None and arrivals.have(self.base()) == have:
                 return None
         return None
 
@@ -104,9 +107,14 @@
         word = self.acceptor.word(stamp)
         if word is None:
             return None
-        if not self.acceptor.shelf.has(stamp.digest):
-            self.acceptor.shelf.hold(word)  # needed ones may have been put off the shelf
-        return self.acceptor.shelf.parcel(Have.hear(have), stamp)
+        return self._parcel(Have.hear(have), word)
+
+    def _parcel(self, have: Have, word: Word) -> list[Any] | None:
+        """The next parcel; None where the body is over the bound of a frame."""
+        shelf = self.acceptor.shelf
+        if not shelf.has(word.stamp.digest):
+            shelf.hold(word)  # ones that are needed may have been put off the shelf
+        return shelf.parcel(have, word.stamp)
 
     async def body(self, stamp: Stamp, ips: list[str]) -> Word | None:
         """This body: from here, or from the first of these machines that has it."""
