--- a/irisdeal/almanac/difference.py
+++ b/irisdeal/almanac/difference.py
@@ -5,8 +5,8 @@
 same place of the base. What is not found is told as it is: a poor difference is long, never wrong, and who applies
 it checks the digest of what comes out.
 
-Weighed beside it: zstandard, level 3, with the base as its dictionary: for a change of three entries 3.0 KB and 5 ms
-of a core at 0.3 MB; at 10 MB it missed the likeness, 2.6 MB and 0.17 s.
+Weighed beside it: zstandard, level 3, with the base as its dictionary: for a change of three entries 3.0 KB and
+5 ms of a core at 0.3 MB; at 10 MB it missed the likeness, 2.6 MB and 0.17 s.
 """
 
 from __future__ import annotations
--- a/irisdeal/almanac/index.py
+++ b/irisdeal/almanac/index.py
@@ -1,8 +1,8 @@
 """What a configuration has under each name, as maps that versions share: a change costs what it touches, and who
 holds an older one is not disturbed. No input or output here.
 
-`immutables` (a hash trie, as in CPython's contextvars) was weighed beside a copied dict (110,000 keys anew with each
-change) and layers of dicts (each look asks all layers, and now and then one pays for a copy).
+`immutables` (a hash trie, as in CPython's contextvars) was weighed beside a copied dict (110,000 keys anew with
+each change) and layers of dicts (each look asks all layers, and now and then one pays for a copy).
 """
 
 from __future__ import annotations
