--- a/irisdeal/squall/core.py
+++ b/irisdeal/squall/core.py
@@ -17,7 +17,7 @@
 from irisdeal.sim.world import Spinning, Stuck
 from irisdeal.squall.faults import Director
 from irisdeal.squall.history import EVER, NONE, Kind, check
-from irisdeal.squall.operators import Callers, Record
+from irisdeal.squall.operators import PACE, Callers, Record
 from irisdeal.squall.stage import DISK_TIMES, MAKE, Stage, pause
 
 LENGTH = 8.0  # s of faults; then the closing one, and as long as it takes
@@ -57,12 +57,14 @@
     def __init__(
         self, count: int, seed: int, make: MAKE = Member, length: float = LENGTH, operators: int = 2,
         only: tuple[str, ...] = (), burst: bool = False, readers: int = 0, disk_times: tuple[int, ...] = DISK_TIMES,
+        pace: float = PACE,
     ) -> None:
         """`only`: the faults to choose from. `burst`: hundreds of changes with a member down. `readers`: callers
-        that do nothing but read. `disk_times`: µs of an act on a disk, of which each start draws one."""
+        that do nothing but read. `disk_times`: µs of an act on a disk, of which each start draws one. `pace`: see
+        `operators.PACE`."""
         self.seed, self.length, self.burst = seed, length, burst
         self.stage = Stage(count, seed, make, disk_times)
-        self.callers = Callers(self.stage, operators, 1, readers)
+        self.callers = Callers(self.stage, operators, 1, readers, pace)
         self.machine = self.stage.new_caller("director")
         self.director = Director(self.stage, self.callers, self.machine, only)
         self.verdict = Verdict(seed)
--- a/irisdeal/squall/faults.py
+++ b/irisdeal/squall/faults.py
@@ -118,8 +118,9 @@
             await self.wait(self.chance.uniform(0.0, 0.8))
 
     async def blink(self, host: str) -> None:
-        """The process is killed amid an order and is back at once."""
-        host = await self.callers.next(self.machine, self.callers.awaiting, MOST_WAIT) or host
+        """Killed amid an order that went to another member, and back at once."""
+        at = await self.callers.next(self.machine, self.callers.awaiting, MOST_WAIT)
+        host = self.chance.choice([each for each in self.stage.hosts if each != at] or [host])
         await self.wait(self.chance.uniform(0.0, 0.08))
         if host in self.stage.hosts:
             await self.down(host, self.chance.choice(("kill", "power")), self.chance.uniform(0.001, 0.03))
--- a/irisdeal/squall/operators.py
+++ b/irisdeal/squall/operators.py
@@ -78,14 +78,17 @@
 class Callers:
     """The operators and watchers of one day."""
 
-    def __init__(self, stage: Stage, operators: int, watchers: int, readers: int = 0, size: int = 0) -> None:
+    def __init__(
+        self, stage: Stage, operators: int, watchers: int, readers: int = 0, pace: float = PACE, size: int = 0,
+    ) -> None:
         """`readers`: callers that do nothing but read. `size`: bytes of padding in each body."""
         self.stage, self.size = stage, size
         self.record = Record()
         self.links: dict[tuple[str, str], Link] = {}
         self.number = 0
-        self.pace = PACE * operators
+        self.pace = pace * operators
         self.quiet = False  # no new orders
+        self.reading = True  # those that do nothing but read do so
         self.resting = 0  # operators that have stopped
         self.sent: list[Word] = []
         self.waiting: list[asyncio.Future[str]] = []  # for the next acknowledgement; the member that gave it
@@ -189,8 +192,9 @@
 
     async def _read(self, machine: Machine) -> int:
         while True:
-            await self.read(machine, self.stage.chance.choice(self.stage.hosts))
-            await pause(machine, self.stage.chance.uniform(0.0, 0.02))
+            if self.reading:
+                await self.read(machine, self.stage.chance.choice(self.stage.hosts))
+            await pause(machine, self.stage.chance.uniform(0.0, 0.02) if self.reading else 0.05)
 
     async def next(self, machine: Machine, waiting: list[asyncio.Future[str]], most: float) -> str | None:
         """The member of the next acknowledgement, or order sent; None after so many s without one."""
--- a/irisdeal/squall/probes.py
+++ b/irisdeal/squall/probes.py
@@ -1,4 +1,4 @@
-"""Three probes of a store without faults but the one that each is about; each says what was counted.
+"""Probes of a store without faults but the one that each is about; each says what was counted.
 
 They fail on the program of 4deabf9: both bodies confirmed in 40 of 40, replaced in 20 of 20, no read after the
 second replacement of three.
@@ -13,11 +13,15 @@
 from irisdeal.sim.machine import Machine
 from irisdeal.squall.history import Kind, Op, check
 from irisdeal.squall.operators import Callers, digest
-from irisdeal.squall.stage import MAKE, Stage, pause
+from irisdeal.squall.stage import DISK_TIMES, MAKE, SYNC, Stage, pause
 
-SETTLE = 3.0  # s from the start to the first order
+SETTLE = 1.5  # s from the start to the first order
 MOST = 120.0  # s of a probe
 APART = 6.0  # s between two replacements
+DUELS = 4  # of one probe
+DUEL_DISKS = (500, 20_000, 60_000)  # µs an act: so far apart that ballots overlap
+DUEL = 0.5  # s that readers go on after the fault
+TOGETHER, MEANWHILE = 0.03, 0.15  # s within which the orders of a duel are sent, and its fault comes
 ASKED = 5.0  # s that an order or a read is tried for
 
 
@@ -35,9 +39,12 @@
 class _Run:
     """A store, one caller, no other load."""
 
-    def __init__(self, count: int, seed: int, make: MAKE) -> None:
-        self.stage = Stage(count, seed, make)
-        self.callers = Callers(self.stage, 0, 0)
+    def __init__(
+        self, count: int, seed: int, make: MAKE, watchers: int = 0, readers: int = 0,
+        disk_times: tuple[int, ...] = DISK_TIMES,
+    ) -> None:
+        self.stage = Stage(count, seed, make, disk_times)
+        self.callers = Callers(self.stage, 0, watchers, readers)
         self.machine = self.stage.new_caller("caller")
         self.probe = Probe()
         self.left = 0
@@ -136,3 +143,47 @@
     run.stage.run(lambda: run.left == 0, MOST + times * (APART + 2 * ASKED))
     run.probe.breaches = check(run.callers.record.ops)
     return run.probe
+
+
+def duels(seed: int, fault: str, make: MAKE = Member, count: int = 3) -> Probe:
+    """Orders under one or two numbers at all members at once, amid them a fault; readers and a watcher beside.
+
+    `fault`: "blink" (killed, and back in 1 to 30 ms), "wipe" (its disk, too), "cut" (what it sends is held up for
+    0.1 to 0.4 s), "freeze" (it stands still for 4 s).
+    """
+    run = _Run(count, seed, make, 1, 2, DUEL_DISKS)
+    stage, chance = run.stage, run.stage.chance
+    run.callers.reading = False
+
+    async def befall(machine: Machine) -> None:
+        host = chance.choice(stage.hosts)
+        await pause(machine, chance.uniform(0.0, MEANWHILE))
+        if fault == "cut":
+            stage.cut(host, True, True, False)
+            await pause(machine, chance.uniform(0.1, 0.4))
+            stage.cut(host, False, True, False)
+        elif fault == "freeze":
+            stage.machines[host].pause(stage.world.now + 4_000_000)
+            await pause(machine, 4.0)
+        else:
+            stage.kill(host, "wipe" if fault == "wipe" else chance.choice(("kill", "power")))
+            await pause(machine, chance.uniform(0.001, 0.03))
+            stage.start(host)
+
+    async def act(machine: Machine) -> int:
+        await pause(machine, SETTLE)
+        for number in range(1, 2 * DUELS + 1, 2):
+            for index, host in enumerate(stage.hosts):
+                word = run.word(number + chance.randint(0, 1), f"{seed} {index}")
+                run.start(chance.uniform(0.0, TOGETHER), host, word)
+            run.callers.reading = True
+            await befall(machine)
+            await pause(machine, DUEL)
+            run.callers.reading = False
+            await pause(machine, SYNC - DUEL)
+        run.left -= 1
+        return 0
+
+    run.left = 1
+    run.machine.start(act(run.machine))
+    return run.play()
--- a/tests/planted/store.py
+++ b/tests/planted/store.py
@@ -118,10 +118,7 @@
 
 async def alone_confirmed(self: Proposer, word: Word, within: float) -> Outcome:
     """An order is confirmed once it is held here."""
-    self.orders.setdefault(word.stamp, (word, asyncio.get_running_loop().create_future()))
-    if not self.working:
-        self.working = True
-        self.tasks.start(self._work())
+    self.tasks.start(PUT(self, word, within))
     return Outcome.CONFIRMED if await self.acceptor.hold(word) else Outcome.LATER
 
 
@@ -129,7 +126,7 @@
     """A process that stood still goes on as before."""
 
 
-HANDLE = Member.handle
+HANDLE, PUT = Member.handle, Proposer.put
 
 PLANTED: dict[str, list[tuple[Any, str, Any]]] = {
     "promise not synced": [(Acceptor, "prepare", promise_not_synced)],
