--- a/irisdeal/almanac/acceptor.py
+++ b/irisdeal/almanac/acceptor.py
@@ -11,6 +11,8 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any, TypeVar
 
+from returns.result import Failure, Result, Success
+
 from irisdeal.almanac.files import Files
 from irisdeal.almanac.folder import DiskFolder, Folder
 from irisdeal.almanac.keeper import Keeper, State
@@ -52,22 +54,34 @@
         except ValueError as error:
             tell(212, ip=self.ip, error=error)
             first = None
-        for word in await self._on_disk(self.files.open):
-            self.shelf.hold(word)
+        words = await self._on_disk(self.files.open)
         if state is None:
             value = first or UNKNOWN
             state = State(FIRST if first else secrets.token_hex(ID), Kept(NO_BALLOT, NO_BALLOT, value), value)
             await self._on_disk(self.keeper.write, state)
             tell(211, seat=seat(self.ip, state.disk))
         self.disk, self.kept, self.decided, self.written = state.disk, state.kept, state.decided, state.decided
+        for word in words:
+            if word.stamp in (self.kept.value.stamp, self.decided.stamp):
+                self.shelf.hold(word)
         self._need()
 
     async def _on_disk(self, act: Callable[..., T], *given: Any) -> T:
         return await asyncio.get_running_loop().run_in_executor(self.thread, act, *given)
 
     async def _whole(self, act: Coroutine[Any, Any, T]) -> T:
-        """Goes to its end also where who asked for it goes away."""
-        return await asyncio.shield(self.tasks.start(act))
+        """Goes to its end also where who asked for it goes away. OSError where the disk refuses."""
+        async def run() -> Result[T, OSError]:
+            try:
+                return Success(await act)
+            except OSError as error:
+                tell(203, error=error)
+                return Failure(error)
+
+        done: Result[T, OSError] = await asyncio.shield(self.tasks.start(run()))
+        if isinstance(done, Failure):
+            raise done.failure()
+        return done.unwrap()
 
     # Promises and accepts
 
--- a/irisdeal/almanac/succession.py
+++ b/irisdeal/almanac/succession.py
@@ -8,16 +8,18 @@
 2. Another disk at a member's address takes that member's seat once it is ready: the disk of the old seat is gone.
    A machine that missed the start comes in this way, too.
 3. A ready learner takes the seat of a member that is dead (`DEAD`), else of one that is leaving.
-4. Without a successor a dead member is dropped only where that lets the rest stand a loss which they could not
-   stand before (4 with 1 dead -> 3; 5 with 2 dead -> 4 -> 3; never 5 with 1 dead), and never below `least`.
-   A leaver without a successor is not dropped: most come back within a second or two.
-5. A ready learner is added while fewer than `most` vote, but only while each member was heard within `QUIET`:
-   where one is silent, the learner may be its successor. One more than an odd number stands no further loss, so
-   there it must have been heard for `sync` without a break first; that keeps a cut that flaps from churning.
+4. Without a successor for `LOST` a dead member is dropped only where that lets the rest stand a loss which they
+   could not stand before (4 with 1 dead -> 3; 5 with 2 dead -> 4 -> 3; never 5 with 1 dead), and never below
+   `least`. A leaver without a successor is not dropped: most come back within a second or two.
+5. A ready learner is added while fewer than `most` vote, but only while each member was heard within `QUIET`, and
+   over `least` only when it has been heard for `DEAD` without a break: where one falls silent, the learner may be
+   its successor. One more than an odd number stands no further loss, so there it must have been heard for `sync`;
+   that keeps a cut that flaps from churning.
 6. A list that could not stand the loss of a zone or region that must be borne changes a member of the fullest
    one for a ready learner elsewhere, where that helps.
 7. More than `most`: one goes, the dead first.
-8. No change whose new list or old list has no live majority, and none to a list shorter than `least` (unless
+8. A member that others brought in though the proposer does not hear it is not dead: the way to it is cut.
+9. No change whose new list or old list has no live majority, and none to a list shorter than `least` (unless
    the old one was as short). Learners count nowhere; one that is leaving becomes no member.
 
 How many vote: all core machines up to 5, or up to 2 t + 1 where `tolerance` asks for more; others are learners
@@ -46,14 +48,17 @@
 from irisdeal.almanac.members import Members, ip_of, majority
 from irisdeal.almanac.register import Value
 from irisdeal.almanac.report import Report
+from irisdeal.almanac.word import NOTHING
 
 DEAD = 2.0  # s of silence: four rounds; a process that is killed and started again is back within one
+LOST = 3.0  # s of silence after which no successor is waited for: a new machine is up and ready within it
 QUIET = 1.2  # s: two rounds of 0.5 and an answer; whoever was heard within it is well
 TURN = 1.0  # s that each next proposer leaves to the ones before it: many ballots' time
 LAG = 4  # changes that a learner's word may be behind: made between two rounds at 160 in 22 s
 FEW = 3  # members that there are at least, where there are as many machines
 MANY = 5  # members that vote where nothing asks for more
 MOST = 9  # members at most, whatever is asked for
+EMPTY = 15.0  # s without anyone who knows a list, after which all disks count as lost: any start is over by then
 FORGOTTEN = 60.0  # s after which a silent learner is forgotten
 MOST_HEARD = 256  # seats remembered: ten times the largest core
 
@@ -113,14 +118,15 @@
     now: float
     wanted: Wanted
     since: float  # from when on this process has listened without standing still
+    vouched: Seats = frozenset()  # members that others hear, though this process does not
 
     @property
     def seats(self) -> Seats:
         return frozenset(self.value.members.seats)
 
     def silence(self, seat: str) -> float:
-        """s; 0 for the own seat."""
-        if seat == self.own:
+        """s; 0 for the own seat and those that others vouch for."""
+        if seat == self.own or seat in self.vouched:
             return 0.0
         heard = self.reports.get(seat)
         return self.now - max(heard.at if heard is not None else self.since, self.since)
@@ -134,7 +140,10 @@
         return any(other.at > at and other.report.ip == ip for other in self.reports.values())
 
     def well(self, seat: str) -> bool:
-        return self.silence(seat) < QUIET and not self.wiped(seat)
+        """Whether it was heard within `QUIET`, whatever this process has missed."""
+        if seat == self.own:
+            return True
+        return seat in self.reports and self.now - self.reports[seat].at < QUIET and not self.wiped(seat)
 
     def live(self, seats: Iterable[str]) -> Seats:
         return frozenset(seat for seat in seats if self.silence(seat) < DEAD and not self.wiped(seat))
@@ -149,9 +158,14 @@
     def ready(self) -> list[str]:
         """Learners that have caught up."""
         return sorted(seat for seat, heard in self.reports.items()
-                      if seat not in self.seats and not heard.report.leaving and heard.report.holds
-                      and heard.report.decided.change >= self.value.change - LAG
-                      and self.well(seat))
+                      if seat not in self.seats and not heard.report.leaving and self.well(seat)
+                      and self.has_caught_up(heard.report))
+
+    def has_caught_up(self, report: Report) -> bool:
+        """Whether it holds the body of the newest change, or of one at most `LAG` before it."""
+        known = report.decided
+        return (report.holds and known.change >= max(0, self.value.change - LAG)
+                and (known.stamp != NOTHING or self.value.stamp == NOTHING))
 
     def others_ready(self) -> list[str]:
         """Those at addresses that no member has."""
@@ -170,7 +184,7 @@
                 sum(count * count for count in regions.values()), sum(heard))
 
     def may(self, seats: Seats) -> bool:
-        """Rule 8."""
+        """Rule 9."""
         return (len(self.live(seats)) >= majority(seats) and len(self.live(self.seats)) >= majority(self.seats)
                 and len(seats) >= min(self.wanted.least, len(self.seats)))
 
@@ -201,7 +215,7 @@
     live = view.live(view.seats)
     if majority(view.seats) <= max(len(live), view.wanted.least) // 2 + 1:
         return None
-    silent = {seat for seat in view.seats if view.silence(seat) >= DEAD}  # a wiped one comes by rule 2
+    silent = {seat for seat in view.seats if view.silence(seat) >= LOST}  # a wiped one comes by rule 2
     return view.best(view.seats - {seat} for seat in silent)
 
 
@@ -210,7 +224,7 @@
     count = len(view.seats) + 1
     if count > view.wanted.most or not all(map(view.well, view.seats)):
         return None
-    steady = view.wanted.sync if count % 2 == 0 and count > view.wanted.least else 0.0
+    steady = 0.0 if count <= view.wanted.least else view.wanted.sync if count % 2 == 0 else DEAD
     return view.best(view.seats | {seat} for seat in view.others_ready()
                      if view.now - view.reports[seat].since >= steady)
 
@@ -238,17 +252,19 @@
 
 def next_members(
     decided: Value, reports: Reports, own: str, now: float, wanted: Wanted, since: float = 0.0,
+    vouched: Seats = frozenset(),
 ) -> Members | None:
     """The list to propose, or None where all is well. For a member in contact with a quorum (see `is_proposer`).
 
     `since`: from when on this process has listened without standing still; silence counts from then on.
+    `vouched`: members that others brought in though this process does not hear them; they count as heard.
     """
     members = decided.members
     if own not in members.voters():
         return None
     if members.former:
         return members.settled()
-    view = _View(decided, reports, own, now, wanted, since)
+    view = _View(decided, reports, own, now, wanted, since, vouched)
     for rule in RULES:
         seats = rule(view)
         if seats is not None:
@@ -279,6 +295,14 @@
     return not members.former and members.is_quorum(holders) and not view.others_ready()
 
 
+def beyond_help(decided: Value, reports: Reports, own: str) -> bool:
+    """Whether no quorum can ever be: too many members' machines speak from other disks. False where none of the
+    disks that were heard knows a list, as then nobody knows whose disks are missing."""
+    view = _View(decided, reports, own, 0.0, Wanted(), 0.0)
+    there = [seat for seat in decided.members.voters() if not view.wiped(seat)]
+    return bool(decided.members.seats) and not decided.members.is_quorum(there)
+
+
 class Watch:
     """What one process has heard of the others, and since when it has wanted a change. `now`: its start."""
 
@@ -287,12 +311,16 @@
         self.reports: dict[str, Heard] = {}
         self.wanting: tuple[int, bool] | None = None  # the list's number, and whether it is to be settled
         self.wanted_at = now
+        self.told: frozenset[tuple[int, str]] = frozenset()  # (event, seat) that hold now and were told
+        self.list: Members | None = None  # the one that was decided last, as far as this process knew
+        self.vouched: Seats = frozenset()
 
     def heard(self, report: Report, now: float) -> None:
         """A seat's word of itself, also the own seat's."""
         known = self.reports.get(report.seat)
         steady = known is not None and now - known.at < DEAD
         self.reports[report.seat] = Heard(now, report, known.since if known is not None and steady else now)
+        self.vouched -= {report.seat}
 
     def woke(self, now: float) -> None:
         """The process stood still: what it did not hear meanwhile is no silence."""
@@ -301,7 +329,8 @@
     def next(self, decided: Value, own: str, now: float, wanted: Wanted) -> Members | None:
         """What this member is to propose now."""
         self._forget(decided, now)
-        found = next_members(decided, self.reports, own, now, wanted, self.since)
+        self._vouch(decided.members, own, now)
+        found = next_members(decided, self.reports, own, now, wanted, self.since, self.vouched)
         if found is None:
             self.wanting = None
             return None
@@ -315,6 +344,27 @@
         ips = {heard.report.ip for heard in self.reports.values() if now - heard.at < DEAD}
         return sorted(ips - decided.members.ips())
 
+    def news(self, decided: Value, own: str, now: float) -> list[tuple[int, str]]:
+        """Events that have begun to hold, each with its seat: 222 a member is dead, 223 a learner is ready, 226 no
+        quorum can ever be (for the own seat)."""
+        view = _View(decided, self.reports, own, now, Wanted(), self.since)
+        hold = {(222, seat) for seat in view.seats - view.live(view.seats)} | {(223, seat) for seat in view.ready()}
+        empty = not decided.members.seats and now - self.since >= EMPTY and not any(
+            heard.report.decided.members.seats for heard in self.reports.values())
+        if empty or beyond_help(decided, self.reports, own):
+            hold.add((226, own))
+        fresh, self.told = sorted(hold - self.told), frozenset(hold)
+        return fresh
+
+    def _vouch(self, members: Members, own: str, now: float) -> None:
+        """Whoever was brought in though we do not hear it is heard by others: it is the way to us that is cut. To
+        propose against them again and again would change the list without end."""
+        if self.list is not None and self.list != members:
+            fresh = members.voters() - self.list.voters() - {own}
+            silent = {seat for seat in fresh if seat not in self.reports or now - self.reports[seat].at >= QUIET}
+            self.vouched = (self.vouched | silent) & members.voters()
+        self.list = members
+
     def _forget(self, decided: Value, now: float) -> None:
         voters = decided.members.voters()
         old_first = sorted((heard.at, seat) for seat, heard in self.reports.items() if seat not in voters)
