--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -65,6 +65,8 @@
             print(f"{verdict.seed}:", *verdict.faults, sep="\n  ", flush=True)
         if verdict.breaches:
             print(f"BREACH in seed {verdict.seed}:", *verdict.breaches, sep="\n  ", file=sys.stderr, flush=True)
+        if len(played) % 100 == 0:
+            print(f"{len(played)} days in {time.monotonic() - began:.0f} s", file=sys.stderr, flush=True)
         if time.monotonic() - began > given.minutes * 60:
             break
     outages = sorted(took for verdict in played for _, took in verdict.outages)
--- a/irisdeal/squall/probes.py
+++ b/irisdeal/squall/probes.py
@@ -149,7 +149,7 @@
     """Orders under one or two numbers at all members at once, amid them a fault; readers and a watcher beside.
 
     `fault`: "blink" (killed, and back in 1 to 30 ms), "wipe" (its disk, too), "cut" (what it sends is held up for
-    0.1 to 0.4 s), "freeze" (it stands still for 4 s).
+    0.1 to 0.4 s), "freeze" (it stands still for 4 s), "none".
     """
     run = _Run(count, seed, make, 1, 2, DUEL_DISKS)
     stage, chance = run.stage, run.stage.chance
@@ -158,6 +158,8 @@
     async def befall(machine: Machine) -> None:
         host = chance.choice(stage.hosts)
         await pause(machine, chance.uniform(0.0, MEANWHILE))
+        if fault == "none":
+            return
         if fault == "cut":
             stage.cut(host, True, True, False)
             await pause(machine, chance.uniform(0.1, 0.4))
@@ -173,6 +175,8 @@
     async def act(machine: Machine) -> int:
         await pause(machine, SETTLE)
         for number in range(1, 2 * DUELS + 1, 2):
+            for host, disk_time in zip(chance.sample(stage.hosts, count), DUEL_DISKS * count, strict=False):
+                stage.machines[host].disk_time = disk_time
             for index, host in enumerate(stage.hosts):
                 word = run.word(number + chance.randint(0, 1), f"{seed} {index}")
                 run.start(chance.uniform(0.0, TOGETHER), host, word)
--- a/tests/planted/store.py
+++ b/tests/planted/store.py
@@ -15,12 +15,13 @@
 
 from irisdeal.almanac.acceptor import Acceptor
 from irisdeal.almanac.contact import Contact
-from irisdeal.almanac.member import ANSWER, Member
+from irisdeal.almanac.member import Member
 from irisdeal.almanac.members import Members, ip_of, majority
 from irisdeal.almanac.peers import now
 from irisdeal.almanac.proposer import Proposer
 from irisdeal.almanac.register import Ballot, Kept, Outcome, Value, on_accept, on_prepare
 from irisdeal.almanac.report import Report
+from irisdeal.almanac.rounds import Rounds
 from irisdeal.almanac.word import Stamp, Word
 
 
@@ -62,35 +63,29 @@
     return all(len(ips & set(map(ip_of, seats))) >= majority(seats) for seats in (self.seats, self.former) if seats)
 
 
-async def any_disk_answers(self: Member, peer: str, kind: str, body: Any) -> Any:
+async def any_disk_answers(self: Member, seat: str, ballot: list[Any], value: list[Any] | None = None) -> Any:
     """A prepare or accept for the disk that was here before is answered by the new one."""
-    if kind in ("prepare", "accept"):
-        body = [self.acceptor.seat, *body[1:]]
-    return await HANDLE(self, peer, kind, body)
+    return await VOTE(self, self.acceptor.seat, ballot, value)
 
 
-async def lease_from_answer(self: Member, ip: str) -> Report | None:
+async def lease_from_answer(self: Rounds, ip: str) -> Report | None:
     """Contact counts from when the answer came."""
-    answer = await self.peers.call(ip, "state", self.report().tell(), 30 * ANSWER)
+    answer = await self.peers.call(ip, "state", self.report().tell(), MOST_ANSWER)
     if not isinstance(answer, Success):
         return None
-    report = self._heard(answer.unwrap())
-    self.contact.heard(report.seat, now())
+    report = Report.hear(answer.unwrap())
+    self.hear(report)
+    self.contact.heard(report.seat, now(), report.value.change)
     return report
 
 
-async def read_unsafe(self: Member) -> list[Any]:
+async def value_unsafe(self: Member) -> Value | None:
     """The highest value that a majority tells of, decided or not."""
-    known = self._known()
-    heard = await asyncio.gather(*(self._ask(ip) for ip in sorted(known.ips() - {self.ip})))
-    reports = [self.report(), *(report for report in heard if report)]
-    if not known.is_quorum(report.seat for report in reports):
-        return [False, None]
-    value = max(reports, key=lambda report: report.accepted).value
-    if value.stamp.number < 0:
-        return [True, None]
-    word = await self.peers.body(value.stamp, sorted(value.members.ips()))
-    return [word is not None, word.body if word is not None else None]
+    known, own = self.rounds.members, self.rounds.report()
+    heard = await asyncio.gather(*(self.rounds.ask(ip) for ip in sorted(known.ips() - {self.ip})))
+    reports = [own, *(report for report in heard if report)]
+    is_enough = known.is_quorum(report.seat for report in reports)
+    return max(reports, key=lambda report: report.accepted).value if is_enough else None
 
 
 async def read_alone(self: Member) -> list[Any]:
@@ -99,12 +94,13 @@
     return [True, word.body if word is not None else None]
 
 
-async def force_undecided(self: Member, peer: str, kind: str, body: Any) -> Any:
+async def force_undecided(self: Member, seat: str, ballot: list[Any], value: list[Any] | None = None) -> Any:
     """What was accepted is in force, before a majority has it."""
-    given = await HANDLE(self, peer, kind, body)
-    if kind == "accept" and given is not None and given[0]:
-        self.force = Value.hear(body[2])
-        self._wake()
+    given = await VOTE(self, seat, ballot, value)
+    if value is not None and given is not None and given[0]:
+        self.force = Value.hear(value)
+        self.news.set()
+        self.news = asyncio.Event()
     return given
 
 
@@ -122,22 +118,24 @@
     return Outcome.CONFIRMED if await self.acceptor.hold(word) else Outcome.LATER
 
 
-def never_woke(self: Contact) -> None:
+def never_woke(self: Contact, moment: float) -> bool:
     """A process that stood still goes on as before."""
+    return False
 
 
-HANDLE, PUT = Member.handle, Proposer.put
+MOST_ANSWER = 10.0  # s: an answer may come after a freeze
+VOTE, PUT = Member._vote, Proposer.put
 
 PLANTED: dict[str, list[tuple[Any, str, Any]]] = {
     "promise not synced": [(Acceptor, "prepare", promise_not_synced)],
     "accept not synced": [(Acceptor, "accept", accept_not_synced)],
     "accept after a higher promise": [(Acceptor, "accept", accept_after_higher)],
     "list changed with the old majority alone": [(Members, "is_quorum", old_majority_alone)],
-    "learner counted": [(Members, "is_quorum", learner_counted), (Member, "handle", any_disk_answers)],
-    "lease from the answer": [(Member, "_ask", lease_from_answer), (Contact, "woke", never_woke)],
-    "read without making safe": [(Member, "read", read_unsafe)],
+    "learner counted": [(Members, "is_quorum", learner_counted), (Member, "_vote", any_disk_answers)],
+    "lease from the answer": [(Rounds, "ask", lease_from_answer), (Contact, "tick", never_woke)],
+    "read without making safe": [(Member, "_heard_value", value_unsafe)],
     "read alone": [(Member, "read", read_alone)],
-    "body in force before decided": [(Member, "handle", force_undecided)],
+    "body in force before decided": [(Member, "_vote", force_undecided)],
     "an order again refused": [(Proposer, "settled", again_refused)],
     "confirmed alone": [(Proposer, "put", alone_confirmed)],
 }
