--- a/tests/features/core.feature
+++ b/tests/features/core.feature
@@ -30,3 +30,18 @@
       | 3     |
       | 4     |
       | 5     |
+
+  Scenario Outline: the judge finds what is planted
+    Given a store in which is planted: <bug>
+    When <play> of seed <seed> is played
+    Then the judge finds it, and nothing where it is not planted
+
+    Examples:
+      | bug                          | play         | seed |
+      | accept not synced            | day: any     | 1    |
+      | learner counted              | duels: wipe  | 3    |
+      | lease from the answer        | day: one way | 22   |
+      | body in force before decided | duels: none  | 13   |
+      | an order again refused       | day: any     | 1    |
+      | read alone                   | day: any     | 1    |
+      | confirmed alone              | day: any     | 1    |
