--- a/irisdeal/squall/core.py
+++ b/irisdeal/squall/core.py
@@ -17,7 +17,7 @@
 from irisdeal.sim.world import Spinning, Stuck
 from irisdeal.squall.faults import Director
 from irisdeal.squall.history import EVER, NONE, Kind, check
-from irisdeal.squall.operators import Callers, Record
+from irisdeal.squall.operators import PACE, Callers, Record
 from irisdeal.squall.stage import DISK_TIMES, MAKE, Stage, pause
 
 LENGTH = 8.0  # s of faults; then the closing one, and as long as it takes
@@ -47,7 +47,6 @@
     outages: list[tuple[str, float]] = field(default_factory=list)  # orders that met a loss: which, s they took
     breaches: list[str] = field(default_factory=list)
     faults: list[str] = field(default_factory=list)
-    stale: list[str] = field(default_factory=list)  # ages told that were not those of what was told
     trail: str = ""  # of all that happened, to the last byte
 
 
@@ -57,12 +56,14 @@
     def __init__(
         self, count: int, seed: int, make: MAKE = Member, length: float = LENGTH, operators: int = 2,
         only: tuple[str, ...] = (), burst: bool = False, readers: int = 0, disk_times: tuple[int, ...] = DISK_TIMES,
+        pace: float = PACE,
     ) -> None:
         """`only`: the faults to choose from. `burst`: hundreds of changes with a member down. `readers`: callers
-        that do nothing but read. `disk_times`: µs of an act on a disk, of which each start draws one."""
+        that do nothing but read. `disk_times`: µs of an act on a disk, of which each start draws one. `pace`: see
+        `operators.PACE`."""
         self.seed, self.length, self.burst = seed, length, burst
         self.stage = Stage(count, seed, make, disk_times)
-        self.callers = Callers(self.stage, operators, 1, readers)
+        self.callers = Callers(self.stage, operators, 1, readers, pace)
         self.machine = self.stage.new_caller("director")
         self.director = Director(self.stage, self.callers, self.machine, only)
         self.verdict = Verdict(seed)
@@ -104,7 +105,8 @@
             await pause(machine, 0.1)
         waiting = list(self.stage.hosts)
         while waiting:
-            waiting = [host for host in waiting if not await self.callers.read(machine, host)]
+            waiting = [host for host in waiting
+                       if host in self.stage.hosts and not await self.callers.read(machine, host)]
             if waiting and self.stage.world.seconds() - begun > MOST_READ + CAUGHT_UP:
                 return self.breach(f"not caught up: {', '.join(waiting)}")
             await pause(machine, 0.05 if waiting else 0.0)
@@ -132,8 +134,8 @@
         verdict.faults = self.director.log.lines
         verdict.outages = [(name, took) for begun, took in record.times for loss, name in self.director.log.began
                            if 0.0 <= begun - loss <= AFTER_LOSS]
-        verdict.breaches += [*check(record.ops), *self._changes(record), *self._ages(record), *events[:3]]
-        verdict.stale = self._lags(record)
+        verdict.breaches += [*check(record.ops), *self._changes(record), *self._ages(record),
+                             *self._lags(record), *events[:3]]
         verdict.trail = self.stage.world.trail.digest()
         return verdict
 
