Capacity: hollow doors and backends before a real core; first slopes and the page begun

Need: each role's load at 1,500 doors and 21,000 backends, from slopes that were measured. Change: benchmarks/capacity/ (real registries and stores counted by kind of frame, hollow doors that are the door's own Sources, beats), formulas fitted to its runs, docs/CAPACITY.md made from them, a page for operators, make capacity.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # `make demo` and `make test` each do all of their own set-up; Python 3.11 or later is all they want.
 PYTHON ?= python3
 
-.PHONY: demo test bench clean
+.PHONY: demo test bench capacity clean
 
 demo: .venv-tool/installed.txt
 	.venv-tool/bin/python -m irisdeal.cli.main demo $(ARGS)
@@ -16,6 +16,11 @@
 bench: .venv-dev/installed.txt
 	.venv-dev/bin/python -m benchmarks.door_cost $(ARGS)
 
+# What each role costs at several sizes, in under 10 minutes; then the page's tables from it (docs/CAPACITY.md).
+capacity: .venv-dev/installed.txt
+	.venv-dev/bin/python -m benchmarks.capacity run $(ARGS)
+	.venv-dev/bin/python -m benchmarks.capacity page --write
+
 .venv-tool/installed.txt: requirements.txt requirements-tool.txt
 	test -x .venv-tool/bin/python || $(PYTHON) -m venv .venv-tool
 	.venv-tool/bin/pip -q install -r requirements.txt -r requirements-tool.txt
--- /dev/null
+++ b/benchmarks/capacity/__main__.py
@@ -0,0 +1,65 @@
+"""`python -m benchmarks.capacity run|page|plot|places`: measure, print the page's tables, draw, weigh ways.
+
+`run` plays the sizes of `RUNS` one after the other and keeps them in `measured.json` (`--only` for some of them,
+`--json` prints them). `page` prints the tables of docs/CAPACITY.md from what is kept; with `--write` they are put
+there.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import sys
+from pathlib import Path
+
+from benchmarks.capacity import page, places, plots
+from benchmarks.capacity.play import play
+from benchmarks.capacity.runs import MEASURED, RUNS, load, rates
+
+
+def run(only: list[str], window: float, file: Path) -> None:
+    """Play the runs and keep each as soon as it is over; the others in the file stay."""
+    kept = load(file)
+    for name, size in RUNS.items():
+        if only and name not in only:
+            continue
+        print(f"{name}: {size.doors} doors, {size.backends} backends, {size.registries} registries",
+              file=sys.stderr, flush=True)
+        kept[name] = play(size, window, rates(size))
+        print(f"{name}: {kept[name]['lasted_s']} s", file=sys.stderr, flush=True)
+        file.write_text(json.dumps(kept, indent=1, sort_keys=True) + "\n", "utf-8")
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(
+        prog="python -m benchmarks.capacity", description=(__doc__ or "").splitlines()[0])
+    verbs = parser.add_subparsers(dest="verb", required=True)
+    running = verbs.add_parser("run", help="play the runs; under 10 minutes in all")
+    running.add_argument("--only", nargs="*", default=[], choices=list(RUNS))
+    running.add_argument("--window", type=float, default=4.0, help="s that each phase is watched")
+    running.add_argument("--file", type=Path, default=MEASURED)
+    running.add_argument("--json", action="store_true", help="print what was measured")
+    paging = verbs.add_parser("page", help="the tables of docs/CAPACITY.md")
+    paging.add_argument("--write", action="store_true", help="put them into the page")
+    drawing = verbs.add_parser("plot", help="figures as SVG (extra `plots`)")
+    drawing.add_argument("folder", type=Path)
+    weighing = verbs.add_parser("places", help="ways to place requests, side by side")
+    weighing.add_argument("--seeds", type=int, default=3)
+    weighing.add_argument("--json", action="store_true")
+    given = parser.parse_args()
+    match given.verb:
+        case "run":
+            run(given.only, given.window, given.file)
+            if given.json:
+                print(json.dumps(load(given.file), indent=1, sort_keys=True))
+        case "page":
+            page.write() if given.write else print(page.tables())
+        case "plot":
+            plots.draw(given.folder)
+        case "places":
+            rows = places.weigh(range(1, given.seeds + 1))
+            print(json.dumps(rows, indent=1) if given.json else places.table(rows))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/capacity/hollow.py
@@ -0,0 +1,201 @@
+"""Hollow doors and backends: the real protocol without clients, many in one process.
+
+A hollow door is the door's own `Sources` (the same asks, in the same order, at the same times) that keeps lives and
+words once for its process in place of once for itself, and a loop that tells its word of each interval. A hollow
+backend is its beats alone.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from typing import Any
+
+from irisdeal.almanac.word import Word
+from irisdeal.barometer.edge import LENGTH, Edge
+from irisdeal.gauge.registry import Life, hear_life, tell_life
+from irisdeal.mast.process import Tasks
+from irisdeal.mast.settings import Settings
+from irisdeal.telegraph.link import Link
+from irisdeal.vane.sources import ASK, Sources
+
+from benchmarks.capacity.size import BEAT
+
+CONNECTIONS = 8  # of one process of hollow backends to each registry
+ANSWER = 1.0  # s for a beat to be acknowledged, as the deployments have it
+
+
+class Shared:
+    """What the hollow doors of one process know together."""
+
+    def __init__(self) -> None:
+        self.lives: dict[str, Life] = {}
+        self.ids: dict[str, list[str]] = {}  # by service
+        self.words: dict[bytes, Word] = {}
+        self.news = 0  # lives that were told to us, each as often as it was
+
+
+class HollowSources(Sources):
+    """A door's sources that share what they know."""
+
+    def __init__(self, settings: Settings, shared: Shared) -> None:
+        super().__init__(settings, self._ignore_word, self._ignore_life)
+        self.shared = shared
+
+    def _ignore_word(self, word: Word) -> None:
+        pass
+
+    def _ignore_life(self, life: Life, silent: bool) -> None:
+        pass
+
+    def _hear(self, ip: str, word: list[Any] | None, lives: list[Any], roster: list[str]) -> None:
+        shared, now = self.shared, self.loop.time()
+        shared.news += len(lives)
+        for told, _ in lives:
+            if told[0] not in shared.lives or int(shared.lives[told[0]].state) < told[5]:
+                shared.lives[told[0]] = hear_life(told, now)
+        super()._hear(ip, word, [], roster)
+        if self.word is not None:  # one body for all doors of this process
+            self.word = shared.words.setdefault(self.word.stamp.digest, self.word)
+
+    async def _tell_again(self, link: Link) -> None:
+        now = self.loop.time()
+        await link.call("lives", [[tell_life(life, now), 0] for life in self.shared.lives.values()], ASK)
+
+
+class HollowDoor:
+    """One door: its news, and its word of each interval."""
+
+    def __init__(self, settings: Settings, shared: Shared, active: int, tenants: int) -> None:
+        """`active`: tenants that ask here in an interval, of so many `tenants`."""
+        self.sources, self.chance = HollowSources(settings, shared), random.Random(settings.ip)
+        self.active, self.tenants = active, tenants
+        self.edge = Edge(self.sources.loop.time())
+        self.asked = self.placed = self.lost = self.words = 0
+
+    def start(self) -> None:
+        self.sources.start()
+        self.sources.tasks.start(self._counting())
+
+    @property
+    def settled(self) -> bool:
+        """Whether it has heard as many sources as a door asks at once, and has a configuration."""
+        return len(self.sources.good) >= 2 and self.sources.word is not None
+
+    async def _counting(self) -> None:
+        spread = LENGTH * (0.04 + 0.24 * self.chance.random())
+        while True:
+            now = self.sources.loop.time()
+            await asyncio.sleep(self.edge.until(self.edge.number(now) + 1, now) + spread)
+            now = self.sources.loop.time()
+            word = {f"tenant{self.chance.randrange(self.tenants):05d}":
+                    [self.chance.randrange(1, 3), round(self.chance.random(), 3), 0, 0, 0.0007, 0]
+                    for _ in range(min(self.active, self.tenants))}
+            told = await self.sources.count(round(self.edge.position(now), 4), self.edge.number(now) - 1, word)
+            if told is not None:
+                self.words += 1
+                self.edge.hear(told[0], self.sources.loop.time())
+
+    async def ask(self, per_s: float, seconds: float, service: str, work: float) -> None:
+        """Ask for a place and tell its end, `per_s` a second for so long; each place is held for `work` s."""
+        loop = self.sources.loop
+        until = loop.time() + seconds
+        while loop.time() < until:
+            self.sources.tasks.start(self._one(service, work))
+            await asyncio.sleep(self.chance.expovariate(per_s))
+
+    async def _one(self, service: str, work: float) -> None:
+        self.asked += 1
+        tenant = f"tenant{self.chance.randrange(self.tenants):05d}"
+        connected = [self.chance.getrandbits(24) for _ in range(6)]  # lives to which a connection rests
+        told = await self.sources.place(
+            [self.sources.settings.zone, service, 0.19, [], 1002, 0.0, 1.0, tenant, False, False, connected],
+            0.0, 0.3)
+        if told is None:
+            self.lost += 1
+        elif told[1][0] > 0:
+            self.placed += 1
+            await asyncio.sleep(work)
+            self.sources.place_ended(told[0], [told[1][0], 0, 1.02])
+
+
+class Backends:
+    """Beats of many backends, as they are due, over a few connections to each registry, one call at a time."""
+
+    def __init__(self, first: int, count: int, controls: list[str], services: int, zones: list[str]) -> None:
+        self.controls, self.services, self.zones = controls, services, zones
+        self.chance, self.tasks = random.Random(first), Tasks()
+        self.lives = [self._life(first + n, 0) for n in range(count)]
+        self.born = self.sent = self.bytes_out = self.bytes_in = self.good = self.broken = 0
+        self.calls: list[asyncio.Queue[bytes]] = [asyncio.Queue() for _ in controls]
+
+    def _life(self, number: int, born: int) -> dict[str, Any]:
+        return {"id": f"i-{number:06x}{born:04x}", "service": f"svc{number % self.services:03d}",
+                "address": f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}:8080",
+                "zone": self.zones[number % len(self.zones)], "number": number, "calls": 0, "state": "ready"}
+
+    def start(self) -> None:
+        for at in range(len(self.controls)):
+            for _ in range(CONNECTIONS):
+                self.tasks.start(self._caller(at))
+        self.tasks.start(self._beats())
+
+    async def _caller(self, at: int) -> None:
+        """One connection to one registry; a call that is not answered in time ends it, as a backend's would."""
+        host, _, port = self.controls[at].rpartition(":")
+        while True:
+            try:
+                reader, writer = await asyncio.open_connection(host, int(port))
+                while True:
+                    await self._call(reader, writer, await self.calls[at].get())
+            except (OSError, TimeoutError, asyncio.IncompleteReadError):
+                self.broken += 1
+                await asyncio.sleep(0.05)
+
+    async def _call(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, data: bytes) -> None:
+        writer.write(data)
+        self.sent += 1
+        self.bytes_out += len(data)
+        async with asyncio.timeout(ANSWER):
+            head = await reader.readuntil(b"\r\n\r\n")
+            length = int(head.lower().partition(b"content-length:")[2].partition(b"\r\n")[0])
+            await reader.readexactly(length)
+        self.bytes_in += len(head) + length
+        self.good += head.startswith(b"HTTP/1.1 200")
+        if b"connection: close" in head.lower():
+            raise OSError("closed")
+
+    async def _beats(self) -> None:
+        loop, at, due = asyncio.get_running_loop(), 0, asyncio.get_running_loop().time()
+        while True:
+            due += BEAT / max(1, len(self.lives))
+            if due - loop.time() > 0.002:
+                await asyncio.sleep(due - loop.time())
+            self.beat(self.lives[at % len(self.lives)])
+            at += 1
+
+    def beat(self, life: dict[str, Any]) -> None:
+        """One beat, to the registry that this backend keeps to."""
+        life["calls"] += 1
+        self._send(life, "heartbeat", json.dumps({
+            "service": life["service"], "address": life["address"], "zone": life["zone"], "generation": "v1",
+            "capacity": 2, "state": life["state"], "warmup_left_ms": 0, "call_count": life["calls"]}).encode())
+
+    def _send(self, life: dict[str, Any], call: str, body: bytes) -> None:
+        self.calls[life["number"] % len(self.calls)].put_nowait((
+            f"POST /backends/{life['id']}/{call} HTTP/1.1\r\nHost: core\r\nContent-Type: application/json\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n").encode() + body)
+
+    async def restart(self, count: int, seconds: float) -> None:
+        """So many backends, evenly over this time, drain, end and start anew: three news each."""
+        for _ in range(count):
+            at = self.chance.randrange(len(self.lives))
+            old = self.lives[at]
+            old["state"] = "draining"
+            self.beat(old)
+            self._send(old, "deregister", b"")
+            self.born += 1
+            self.lives[at] = self._life(old["number"], self.born)
+            self.beat(self.lives[at])
+            await asyncio.sleep(seconds / count)
--- /dev/null
+++ b/benchmarks/capacity/tally.py
@@ -0,0 +1,92 @@
+"""Frames counted by kind inside a real process: a wrapper round the encoder and the reader of its links.
+
+    python -m benchmarks.capacity.tally gauge
+
+runs the registry (or `almanac`, the store) as it is. For each line on standard input it prints what was counted
+until then, as JSON: `in KIND` and `out KIND` for calls and words, `answer KIND` for our answers, `in answer` for
+those of others: [messages, bytes], the four bytes of length included.
+"""
+
+from __future__ import annotations
+
+import importlib
+import json
+import os
+import signal
+import sys
+import threading
+from collections.abc import Iterator
+from typing import Any
+
+from irisdeal.mast.process import main
+from irisdeal.telegraph import frames, link
+
+Counts = dict[str, list[int]]
+
+
+class Tally:
+    """Messages and bytes by kind."""
+
+    def __init__(self) -> None:
+        self.counts: Counts = {}
+
+    def add(self, kind: str, size: int) -> None:
+        entry = self.counts.setdefault(kind, [0, 0])
+        entry[0] += 1
+        entry[1] += size
+
+    def install(self) -> None:
+        """Count all frames of this process from now on."""
+        tally = self
+
+        class Reader(frames.Reader):
+            """Counts what comes, and remembers the kind of each call until it is answered."""
+
+            def __init__(self) -> None:
+                super().__init__()
+                self.kinds: dict[int, str] = {}
+
+            def feed(self, data: bytes) -> Iterator[Any]:
+                before = len(self.rest) + len(data)
+                for item in super().feed(data):
+                    size, before = before - len(self.rest), len(self.rest)
+                    if isinstance(item[1], str):
+                        tally.add(f"in {item[1]}", size)
+                        self.kinds[item[0]] = item[1]
+                    else:
+                        tally.add("in answer", size)
+                    yield item
+
+        def encode(item: Any) -> bytes:
+            data = frames.encode(item)
+            if isinstance(item[1], str):
+                tally.add(f"out {item[1]}", len(data))
+            return data
+
+        def write(answers: Any, answer: list[Any]) -> None:
+            if answers.transport is not None:
+                data = frames.encode(answer)
+                tally.add(f"answer {answers.reader.kinds.pop(answer[0], '?')}", len(data))
+                answers.transport.write(data)
+
+        names: dict[str, Any] = {"Reader": Reader, "encode": encode}
+        for name, value in names.items():
+            setattr(link, name, value)
+        link._Answers._write = write  # type: ignore[method-assign, assignment]
+
+
+def report(tally: Tally) -> None:
+    """Print the counts at each line of standard input, on a thread of its own; its end is the process's."""
+    for _ in sys.stdin:
+        print(json.dumps(dict(tally.counts)), flush=True)
+    os.kill(os.getpid(), signal.SIGTERM)
+
+
+PROGRAMS = {"gauge": ("irisdeal.gauge.station", "Station"), "almanac": ("irisdeal.almanac.member", "Member")}
+
+if __name__ == "__main__":
+    counted = Tally()
+    counted.install()
+    threading.Thread(target=report, args=(counted,), daemon=True).start()
+    module, name = PROGRAMS[sys.argv[1]]
+    sys.exit(main(getattr(importlib.import_module(module), name)))
