A leaver in a list that stands no loss without it is dropped before it goes

Change: rule 4 drops a leaver where that lets the rest stand a loss, may_go waits for it, a joint list is settled by who proposed it in the same chore, and a learner that would make an even list is heard for half of sync_s.

--- a/irisdeal/almanac/rounds.py
+++ b/irisdeal/almanac/rounds.py
@@ -184,6 +184,8 @@
         if wanted is not None:
             tell(215, list=wanted.number, seats=" ".join(wanted.seats), former=" ".join(wanted.former))
             await self.proposer.decide(set_members(wanted), lambda value: value.members != members)
+        if wanted is not None and wanted.former and self.members == wanted:  # settled at once: joint stands less
+            await self.proposer.decide(set_members(wanted.settled()), lambda value: value.members != wanted)
 
     def _wanted(self) -> Wanted:
         settings = self.settings
--- a/irisdeal/almanac/succession.py
+++ b/irisdeal/almanac/succession.py
@@ -8,13 +8,14 @@
 2. Another disk at a member's address takes that member's seat once it is ready: the disk of the old seat is gone.
    A machine that missed the start comes in this way, too.
 3. A ready learner takes the seat of a member that is dead (`DEAD`), else of one that is leaving.
-4. Without a successor for `LOST` a dead member is dropped only where that lets the rest stand a loss which they
-   could not stand before (4 with 1 dead -> 3; 5 with 2 dead -> 4 -> 3; never 5 with 1 dead), and never below
-   `least`. A leaver without a successor is not dropped: most come back within a second or two.
+4. Without a successor for `LOST` a dead member, and at once one that is leaving, is dropped only where that lets
+   the rest stand a loss which they could not stand before (4 with 1 gone -> 3; 5 with 2 gone -> 4 -> 3; never 5
+   with 1 gone), and never below `least`. A leaver waits for it (`may_go`): else it goes while 4 with a gone one
+   stand no loss, though its successor may be in the list for long. One that only starts again comes by rule 5.
 5. A ready learner is added while fewer than `most` vote, but only while each member was heard within `QUIET`, and
    over `least` only when it has been heard for `DEAD` without a break: where one falls silent, the learner may be
-   its successor. One more than an odd number stands no further loss, so there it must have been heard for `sync`;
-   that keeps a cut that flaps from churning.
+   its successor. One more than an odd number stands no further loss, so there it must have been heard for half of
+   `sync`; that keeps a cut that flaps from churning.
 6. A list that could not stand the loss of a zone or region that must be borne changes a member of the fullest
    one for a ready learner elsewhere, where that helps.
 7. More than `most`: one goes, the dead first.
@@ -214,11 +215,12 @@
 
 def _without(view: _View) -> Seats | None:
     """Rule 4."""
-    live = view.live(view.seats)
-    if majority(view.seats) <= max(len(live), view.wanted.least) // 2 + 1:
+    going = frozenset(filter(view.leaving, view.seats))
+    staying = view.live(view.seats) - going
+    if majority(view.seats) <= max(len(staying), view.wanted.least) // 2 + 1:
         return None
     silent = {seat for seat in view.seats if view.silence(seat) >= LOST}  # a wiped one comes by rule 2
-    return view.best(view.seats - {seat} for seat in silent)
+    return view.best(view.seats - {seat} for seat in silent | going)
 
 
 def _one_more(view: _View) -> Seats | None:
@@ -226,7 +228,7 @@
     count = len(view.seats) + 1
     if count > view.wanted.most or not all(map(view.well, view.seats)):
         return None
-    steady = 0.0 if count <= view.wanted.least else view.wanted.sync if count % 2 == 0 else DEAD
+    steady = 0.0 if count <= view.wanted.least else view.wanted.sync / 2 if count % 2 == 0 else DEAD
     return view.best(view.seats | {seat} for seat in view.others_ready()
                      if view.now - view.reports[seat].since >= steady)
 
@@ -285,8 +287,8 @@
 
 
 def may_go(decided: Value, reports: Reports, own: str, now: float, since: float = 0.0) -> bool:
-    """Whether a member that was told to end may go: a live quorum holds what is decided without it, and nobody
-    stands ready to take its seat (it waits until that is decided)."""
+    """Whether a member that was told to end may go: a live quorum holds what is decided without it, nobody stands
+    ready to take its seat, and it is not to be dropped (it waits until that is decided and settled)."""
     members = decided.members
     if own not in members.voters():
         return True
@@ -294,7 +296,8 @@
     holders = [seat for seat in view.live(members.voters() - {own})
                if seat in reports and reports[seat].report.holds
                and reports[seat].report.decided.change >= decided.change]
-    return not members.former and members.is_quorum(holders) and not view.others_ready()
+    return (not members.former and members.is_quorum(holders) and not view.others_ready()
+            and _without(view) is None)
 
 
 def beyond_help(decided: Value, reports: Reports, own: str) -> bool:
