--- a/tests/test_known_age.py
+++ b/tests/test_known_age.py
@@ -136,3 +136,54 @@
     for host in rest:
         in_force = min(at for at, number in told[host] if number == 7)
         assert in_force - when["confirmed"] <= SETTLED + 0.03, host
+
+
+@pytest.mark.parametrize("offset", range(0, 13))
+def test_an_answer_that_a_link_held_back_makes_nothing_younger(offset: int) -> None:
+    """What others say to one member comes 0.3 s late; meanwhile they decide, and it is told nothing of that."""
+    stores = Stores(3, 1)
+    late, *others = stores.hosts
+    when: dict[str, float] = {}
+    begun = 3.0 + offset * 0.04
+
+    def prepare() -> None:
+        one = stores.members[others[0]]
+        one.peers.tell = lambda ip, kind, body: None  # type: ignore[method-assign]
+        promise, accept = one.proposer._ask_promise, one.proposer._ask_accept
+
+        async def ask_promise(ballot: Any, seat: str, news: Any) -> None:
+            if not seat.startswith(f"{late}/"):
+                await promise(ballot, seat, news)
+
+        async def ask_accept(ballot: Any, seat: str, news: Any) -> None:
+            if not seat.startswith(f"{late}/"):
+                await accept(ballot, seat, news)
+
+        one.proposer._ask_promise = ask_promise  # type: ignore[method-assign]
+        one.proposer._ask_accept = ask_accept  # type: ignore[method-assign]
+
+    def decided(outcome: Any) -> None:
+        when["decided"] = stores.world.seconds()
+        assert outcome == Outcome.CONFIRMED
+
+    wrong: list[str] = []
+
+    def ask() -> None:
+        asked = stores.world.seconds()
+
+        def hear(answer: list[Any]) -> None:
+            known_by = asked - answer[3] / 1000
+            if answer[3] >= 0 and answer[1][1] < 7 and known_by > when.get("decided", 99.0):
+                wrong.append(f"{asked:.2f}: r{answer[1][1]}, {answer[3]} ms old")
+
+        stores.on(late, lambda one: one.watch(Have(), -2), hear)
+
+    stores.at(2.9, prepare)
+    stores.at(begun, lambda: stores.net.cuts.update((other, late) for other in others))
+    stores.at(begun + 0.02, lambda: stores.on(others[0], lambda one: one.put(WORD), decided))
+    stores.at(begun + 0.3, stores.net.join)
+    for number in range(60):
+        stores.at(begun + number * 0.02, ask)
+    stores.play(begun + 2.0)
+    assert when["decided"] < begun + 0.3 and not wrong, wrong[:3]
+    assert stores.members[late].force.stamp.number == 7
