--- a/irisdeal/telegraph/calls.py
+++ b/irisdeal/telegraph/calls.py
@@ -54,8 +54,6 @@
          "asks the next one that has it"),
     Call("decided", "almanac", "almanac", Again.ANYONE, "the ballot, with its one value", _NOTHING,
          "the next `state` tells it", word=True),
-    Call("keep", "almanac", "almanac", Again.ANYONE, "number and digest of the body", "it may be held",
-         "counts it as not held"),
     # The registry at the store
     Call("watch", "gauge", "almanac", Again.ANYONE, "what the asker has", _NOTHING, _ANEW),
     Call("put", "gauge", "almanac", Again.ASKER, "number and digest of the body", "it may be decided",
