--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -179,7 +179,8 @@
         await asyncio.sleep(0.3)
         store.start(2)
         await asyncio.sleep(BETWEEN + SYNC)
-    for name, out, into in (("nothing goes out", True, False), ("nothing comes in", False, True), ("cut", True, True)):
+    for name, out, into in (
+            ("nothing goes out", True, False), ("nothing comes in", False, True), ("cut", True, True)):
         with span(name):
             store.cut(3, out, into)
             await asyncio.sleep(2.0)
