--- a/benchmarks/capacity/hollow.py
+++ b/benchmarks/capacity/hollow.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 from benchmarks.capacity.size import BEAT
+from irisdeal.almanac.shelf import Have
 from irisdeal.almanac.word import Word
 from irisdeal.barometer.edge import LENGTH, Edge
 from irisdeal.gauge.registry import Life, hear_life, tell_life
@@ -48,15 +49,17 @@
     def _ignore_life(self, life: Life, silent: bool) -> None:
         pass
 
-    def _hear(self, ip: str, word: list[Any] | None, lives: list[Any], roster: list[str]) -> None:
+    def _hear_lives(self, ip: str, lives: list[Any]) -> None:
         shared, now = self.shared, self.loop.time()
         shared.news += len(lives)
         for told, _ in lives:
             if told[0] not in shared.lives or int(shared.lives[told[0]].state) < told[5]:
                 shared.lives[told[0]] = hear_life(told, now)
-        super()._hear(ip, word, [], roster)
+
+    def _hear_word(self, ip: str, have: Have, parcel: list[Any] | None, change: int) -> None:
+        super()._hear_word(ip, have, parcel, change)
         if self.word is not None:  # one body for all doors of this process
-            self.word = shared.words.setdefault(self.word.stamp.digest, self.word)
+            self.word = self.shared.words.setdefault(self.word.stamp.digest, self.word)
 
     async def _tell_again(self, link: Link) -> None:
         now = self.loop.time()
@@ -80,7 +83,7 @@
     @property
     def settled(self) -> bool:
         """Whether it has heard as many sources as a door asks at once, and has a configuration."""
-        return len(self.sources.good) >= 2 and self.sources.word is not None
+        return len(self.sources.answering) >= 2 and self.sources.word is not None
 
     async def _counting(self) -> None:
         spread = LENGTH * (0.04 + 0.24 * self.chance.random())
