A text or an object where a list is wanted is invalid, whatever the reader makes of it

Cause: found by the property test of readings: dacite makes a tuple of a text out of a generator's name, so "api_keys": "abc" was taken with letters and an address in memory as keys, others in each process under one version. Change: a hook for each list.

--- a/irisdeal/almanac/configuration.py
+++ b/irisdeal/almanac/configuration.py
@@ -96,7 +96,18 @@
     limits: Limits = field(default_factory=Limits)
 
 
-READING = dacite.Config(cast=[tuple], type_hooks={float: lambda value: _figure(value)})
+def _list(value: Any) -> Any:
+    """dacite makes a tuple of a text's letters, or of the text of a generator, which no two processes agree on."""
+    if value is not None and not isinstance(value, list | tuple):
+        raise dacite.DaciteError(f"wanted a list, got {type(value).__name__}")
+    return value
+
+
+LISTS: tuple[Any, ...] = (
+    tuple[str, ...], tuple[Share, ...], tuple[Rule, ...], tuple[Socket, ...], tuple[Pool, ...], tuple[Tenant, ...],
+    tuple[Tenant, ...] | None)
+READING = dacite.Config(
+    cast=[tuple], type_hooks={float: lambda value: _figure(value), **dict.fromkeys(LISTS, _list)})
 
 
 def _figure(value: Any) -> float:
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -250,3 +250,15 @@
                 data["sockets"][0]["hostname"] = value
         found = entries.read_whole(body(data))
         assert isinstance(found, Failure) and "no text" in str(found.failure())
+
+
+@pytest.mark.parametrize("field", ["sockets", "pools", "tenants", "api_keys", "rules", "weighted"])
+@pytest.mark.parametrize("value", ["abc", {}, {"a": 1}, 7])
+def test_what_is_no_list_is_invalid_where_a_list_is_wanted(field: str, value: Any) -> None:
+    """A text was taken as the letters of a generator's name: other keys in each process under one version."""
+    data = copy.deepcopy(configuration(40))
+    place = {"api_keys": data["tenants"][0], "rules": data["sockets"][0],
+             "weighted": data["sockets"][0]["rules"][0]["effect"]}.get(field, data)
+    place[field] = value
+    assert isinstance(read_whole(body(data)), Failure)
+    assert isinstance(run(reading(body(data), None)), Failure)
