--- a/irisdeal/almanac/rounds.py
+++ b/irisdeal/almanac/rounds.py
@@ -178,13 +178,14 @@
                 return
 
     async def _propose_members(self) -> None:
-        """The next list, where there is one and it is our turn."""
+        """The next list, where there is one and it is our turn; then at once that it stands alone."""
         members = self.members
         wanted = self.heard.next(self.acceptor.decided, self.acceptor.seat, now(), self._wanted())
-        if wanted is not None:
-            tell(215, list=wanted.number, seats=" ".join(wanted.seats), former=" ".join(wanted.former))
-            await self.proposer.decide(set_members(wanted), lambda value: value.members != members)
-        if wanted is not None and wanted.former and self.members == wanted:  # settled at once: joint stands less
+        if wanted is None:
+            return
+        tell(215, list=wanted.number, seats=" ".join(wanted.seats), former=" ".join(wanted.former))
+        await self.proposer.decide(set_members(wanted), lambda value: value.members != members)
+        if wanted.former and self.members == wanted:  # a joint list stands less
             await self.proposer.decide(set_members(wanted.settled()), lambda value: value.members != wanted)
 
     def _wanted(self) -> Wanted:
