--- a/tests/core_rig.py
+++ b/tests/core_rig.py
@@ -60,6 +60,14 @@
         if what != "syn":  # that one is sent again by itself
             self.kept.append((leg, sock, size, what, call, args))
 
+    def lose(self, host: str) -> None:
+        """The systems have given up all connections of this machine: what was on its way is lost."""
+        self.kept = [kept for kept in self.kept if host not in kept[0]]
+        for sock in list(self.usual.ends):
+            if sock.other is not None and host in (sock.machine.name, sock.other.machine.name):
+                sock.inbox.clear()
+                self._on_reset(sock)
+
     def join(self) -> None:
         self.cuts.clear()
         kept, self.kept = self.kept, []
--- a/tests/test_gauge_store.py
+++ b/tests/test_gauge_store.py
@@ -345,3 +345,12 @@
     assert follower.as_of == pytest.approx(1001.7), "however late the answer came"
     ear = follower._hear(host, Have(), 1002.5, None, value, frozenset(), -1)
     assert ear is store.Ear.NO_CONTACT and follower.as_of == pytest.approx(1001.7)
+
+
+def test_an_age_counts_only_once_the_body_of_what_is_decided_is_here() -> None:
+    rig = CoreRig(3, 0)
+    follower = follower_of(rig)
+    follower.as_of, host = 900.0, rig.hosts[0]
+    newer = Value(5, Word.of("r5", b"five").stamp, rig.first.members)
+    assert follower._hear(host, Have(), 1003.0, None, newer, frozenset(), 0) is store.Ear.GOOD
+    assert follower.as_of == 900.0 and follower.change == 0 and follower.value.change == 5
--- a/tests/test_station.py
+++ b/tests/test_station.py
@@ -113,8 +113,10 @@
             rig.at(8.0, partial(rig.start, away))
         case "frozen":
             rig.at(4.0, partial(rig.freeze, away, 4.0))
+            rig.at(7.9, partial(rig.net.lose, away))
         case "cut off":
             rig.at(4.0, partial(rig.cut, away))
+            rig.at(7.9, partial(rig.net.lose, away))
             rig.at(8.0, rig.net.join)
     drained_and_then(rig, 5.0)
     watch_news(rig, away, 8.001, 11.0)
