--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -1,7 +1,7 @@
-"""Five processes of the store over loopback sockets, with our fault proxy between them; the judge has the history.
+"""Five processes of the store over loopback sockets, our fault proxy between them; the judge has the history.
 
-SIGSTOP, SIGKILL, a disk that is lost, cuts both ways and one way, one after the other, while two operators put
-bodies under the same numbers. Everything is bounded; processes are ended by their ids.
+SIGSTOP, SIGKILL, a disk that is lost, cuts both ways and one way, one after the other, while two operators
+put bodies under the same numbers. Everything is bounded; processes are ended by their ids.
 """
 
 from __future__ import annotations
