--- a/irisdeal/squall/probes.py
+++ b/irisdeal/squall/probes.py
@@ -191,3 +191,34 @@
     run.left = 1
     run.machine.start(act(run.machine))
     return run.play()
+
+
+def second_loss(seed: int, make: MAKE = Member, count: int = 3) -> Probe:
+    """A member is replaced, its successor first; 0 to 4 s after it was told to end the next loss comes: one disk,
+    while the others lose power. The successor had its `SYNC` s, so the one that went counts no more."""
+    run = _Run(count, seed, make)
+    stage, chance = run.stage, run.stage.chance
+
+    async def act(machine: Machine) -> int:
+        await pause(machine, SETTLE)
+        run.left += 1
+        await run.put(machine, 0.0, chance.choice(stage.hosts), run.word(1, f"{seed}"))
+        old, new = chance.choice(stage.hosts), stage.new_host()
+        stage.start(new)
+        await pause(machine, SYNC + chance.uniform(0.1, 1.0))
+        stage.term(old)
+        while stage.is_up(old):
+            await pause(machine, 0.01)
+        await pause(machine, chance.uniform(0.0, 4.0))
+        lost = chance.choice(stage.hosts)
+        for host in list(stage.hosts):
+            stage.kill(host, "wipe" if host == lost else "power")
+            stage.later(chance.uniform(0.3, 1.5), stage.start, host)
+        await pause(machine, 1.5)
+        run.probe.reads += await run.read(machine, chance.choice(stage.hosts))
+        run.left -= 1
+        return 0
+
+    run.left = 1
+    run.machine.start(act(run.machine))
+    return run.play()
