--- a/tests/test_register.py
+++ b/tests/test_register.py
@@ -1,4 +1,4 @@
-"""The store's register: its ballots in random order, and members of the store's own program in virtual time."""
+"""The store's register: its ballots in random order, and the store's own program in virtual time."""
 
 from __future__ import annotations
 
@@ -36,8 +36,9 @@
 def test_long_random_ways_break_no_rule(seed: int, name: str) -> None:
     chance, plan = random.Random(seed), PLANS[name]
     stamps = [Stamp(number, bytes([number])) for number in range(1, 5)]
-    more = Plan(plan.seats, plan.first, (*plan.programs[:-1], orders(*stamps)), tuple(6 for _ in plan.ballots),
-                2, plan.again, plan.wiped, plan.there, 3)
+    programs = (*plan.programs[:-1], orders(*stamps))
+    more = Plan(plan.seats, plan.first, programs, tuple(6 for _ in plan.ballots), 2, plan.again, plan.wiped,
+                plan.there, 3)
     search = Search(more)
     state = search.begin()
     for _ in range(150):
@@ -55,7 +56,8 @@
     empty = Kept(Ballot(2, "b"), NO_BALLOT, UNKNOWN)
     ballot.on_promise("a", True, accepted)
     ballot.on_promise("d", True, empty)
-    assert ballot.step is Step.PREPARING and ballot.targets() == {"a", "b", "c", "d"}  # a and d are no old quorum
+    assert ballot.step is Step.PREPARING  # a and d are no old quorum
+    assert ballot.targets() == {"a", "b", "c", "d"}
     assert ballot.on_promise("b", True, Kept(Ballot(2, "b"), NO_BALLOT, FIRST)) is Step.ACCEPTING
     assert ballot.value == accepted.value
     for seat in ("b", "d"):
@@ -163,7 +165,7 @@
 @pytest.mark.parametrize("count", (3, 4))
 @pytest.mark.parametrize("seed", range(6))
 def test_eight_orders_at_once_all_end(count: int, seed: int) -> None:
-    """No two ballots chase each other: all end within half of what the slowest site gives, whatever the disks."""
+    """No two ballots chase each other: all end within half of what a site gives, whatever the disks."""
     play = Play(count, seed)
     took: list[float] = []
     outcomes: list[Outcome] = []
@@ -185,7 +187,7 @@
 
 @pytest.mark.parametrize("seed", range(4))
 def test_two_bodies_under_one_number_and_orders_again(seed: int) -> None:
-    """One is decided, the other is told so; both numbers are confirmed again by any member, whatever holds."""
+    """One is decided, the other is told so; each number is confirmed again by any, whatever holds."""
     play = Play(3, seed)
     found: list[list[Any]] = []
 
@@ -217,7 +219,8 @@
 
     def settled(self, stamp: Stamp) -> Outcome | None:
         found = super().settled(stamp)
-        return Outcome.OTHER if found is not None and self.acceptor.decided.stamp.number > stamp.number else found
+        is_above = self.acceptor.decided.stamp.number > stamp.number
+        return Outcome.OTHER if found is not None and is_above else found
 
 
 def test_an_order_that_is_refused_again_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -279,7 +282,7 @@
 
 @pytest.mark.parametrize("missing", (0, 2))
 def test_who_misses_the_first_start_comes_to_count(missing: int) -> None:
-    """One of three seeds does not start with the others, and comes later with an empty disk, `bootstrap` false."""
+    """One of three seeds does not start with the others, and comes later: empty disk, `bootstrap` false."""
     play = Play(3, 3)
     host = play.hosts[missing]
     others = [other for other in play.hosts if other != host]
--- a/tests/test_register_states.py
+++ b/tests/test_register_states.py
@@ -14,6 +14,7 @@
 from irisdeal.almanac.register import Ballot, Kept, Step, Value
 from irisdeal.almanac.report import Report
 
+ONE_READ = {"ballots": (1, 1), "reads": 1}
 FEW = 12_000  # states of each plan here; `python -m benchmarks.register_states` looks at millions
 
 
@@ -33,7 +34,8 @@
 
 def _accepts_after_a_higher_promise(patch: pytest.MonkeyPatch) -> None:
     def on_accept(kept: Kept, ballot: Ballot, value: Value) -> tuple[bool, Kept]:
-        return (True, Kept(max(ballot, kept.promised), ballot, value)) if ballot >= kept.accepted else (False, kept)
+        good = ballot >= kept.accepted
+        return good, Kept(max(ballot, kept.promised), ballot, value) if good else kept
     patch.setattr(register, "on_accept", on_accept)
 
 
@@ -115,8 +117,8 @@
     (_own_body_first, "two bodies under one number", {}, "two bodies|does not take over|change 1 is"),
     (_old_majority_alone, "one in the place of another", {}, "does not take over"),
     (_learner_counted, "a fourth member", {}, "does not take over"),
-    (_reads_what_is_not_safe, "a read", {"ballots": (1, 1), "reads": 1}, "a read answers|does not take over"),
-    (_in_force_before_decided, "a read", {"ballots": (1, 1), "reads": 1}, "a read answers|does not take over"),
+    (_reads_what_is_not_safe, "a read", ONE_READ, "a read answers|does not take over"),
+    (_in_force_before_decided, "a read", ONE_READ, "a read answers|does not take over"),
     (_nothing, "an empty disk", {"wiped": (2, 2), "programs": (orders(A), orders(B))}, "does not take over"),
 ], ids=lambda value: value.__name__ if callable(value) else None)
 def test_a_planted_bug_is_found(
