--- /dev/null
+++ b/tests/test_second_loss.py
@@ -0,0 +1,17 @@
+"""A loss right after a replacement: the one that went counts no more, so the store must stand the next."""
+
+from __future__ import annotations
+
+import pytest
+
+from irisdeal.squall.probes import second_loss
+
+SEEDS = 12
+
+
+@pytest.mark.parametrize("count", [3, 4, 5])
+def test_a_disk_is_lost_soon_after_a_member_was_replaced(count: int) -> None:
+    probes = {seed: second_loss(seed, count=count) for seed in range(SEEDS)}
+    assert not {seed: probe.breaches for seed, probe in probes.items() if probe.breaches}
+    stuck = [seed for seed, probe in probes.items() if not probe.reads]
+    assert not stuck, f"no read is answered any more: seeds {stuck}"
