--- a/irisdeal/almanac/rounds.py
+++ b/irisdeal/almanac/rounds.py
@@ -178,19 +178,12 @@
                 return
 
     async def _propose_members(self) -> None:
-        """The next list, where there is one and it is our turn; then at once that it stands alone."""
-        if await self._propose_list():
-            await self._propose_list()
-
-    async def _propose_list(self) -> bool:
-        """Whether there was one to propose."""
+        """The next list, where there is one and it is our turn."""
         members = self.members
         wanted = self.heard.next(self.acceptor.decided, self.acceptor.seat, now(), self._wanted())
-        if wanted is None:
-            return False
-        tell(215, list=wanted.number, seats=" ".join(wanted.seats), former=" ".join(wanted.former))
-        await self.proposer.decide(set_members(wanted), lambda value: value.members != members)
-        return True
+        if wanted is not None:
+            tell(215, list=wanted.number, seats=" ".join(wanted.seats), former=" ".join(wanted.former))
+            await self.proposer.decide(set_members(wanted), lambda value: value.members != members)
 
     def _wanted(self) -> Wanted:
         settings = self.settings
