--- a/irisdeal/almanac/succession.py
+++ b/irisdeal/almanac/succession.py
@@ -10,7 +10,8 @@
 3. A ready learner takes the seat of a member that is dead (`DEAD`), else of one that is leaving.
 4. Without a successor for `LOST` a dead member is dropped only where that lets the rest stand a loss which they
    could not stand before (4 with 1 dead -> 3; 5 with 2 dead -> 4 -> 3; never 5 with 1 dead), and never below
-   `least`. A leaver without a successor is not dropped: most come back within a second or two.
+   `least`. One that said that it leaves is dropped likewise once it is silent for `QUIET`, no sooner: most come
+   back within a second.
 5. A ready learner is added while fewer than `most` vote, but only while each member was heard within `QUIET`, and
    over `least` only when it has been heard for `DEAD` without a break: where one falls silent, the learner may be
    its successor. One more than an odd number stands no further loss, so there it must have been heard for `sync`;
@@ -214,10 +215,10 @@
 
 def _without(view: _View) -> Seats | None:
     """Rule 4."""
-    live = view.live(view.seats)
-    if majority(view.seats) <= max(len(live), view.wanted.least) // 2 + 1:
+    silent = {seat for seat in view.seats  # a wiped one comes by rule 2
+              if view.silence(seat) >= (QUIET if view.leaving(seat) else LOST)}
+    if majority(view.seats) <= max(len(view.live(view.seats) - silent), view.wanted.least) // 2 + 1:
         return None
-    silent = {seat for seat in view.seats if view.silence(seat) >= LOST}  # a wiped one comes by rule 2
     return view.best(view.seats - {seat} for seat in silent)
 
 
