At a start of all machines the own store is looked for each 0.1 s

And: and doors stay with their first sources.

A registry that started before its store waited 0.4 to 0.6 s for its next look, and doors went from one source that was starting to the next, without a place from any meanwhile.

--- a/irisdeal/gauge/store.py
+++ b/irisdeal/gauge/store.py
@@ -44,6 +44,7 @@
 STALE = LEASE + PULSE + ANSWER  # s: knowledge that is older is no contact, whatever was said
 GRACE = 0.15  # s that another store is looked for before doors are told that there is no contact
 SEEK = 0.5  # s between two looks for a store that has contact, times 0.75 to 1.25: registries do not ask as one
+OWN = 0.1  # s between two looks at the own store meanwhile
 PUT = 0.95  # s for an order or a read: the caller goes elsewhere after a second of silence
 LEAST = 0.1  # s under which no further store is tried
 AGAIN = 0.5  # s after which an order may find a store: a round and its answers; told as Retry-After
@@ -187,7 +188,11 @@
                     if ear is Ear.GOOD:
                         return self._found(ip)
                 self._lost()
-                await asyncio.sleep(SEEK * (0.75 + 0.5 * self.chance.random()))
+                again = self.loop.time() + SEEK * (0.75 + 0.5 * self.chance.random())
+                while self.loop.time() < again:  # at a start of all machines the own store is there first
+                    await asyncio.sleep(OWN)
+                    if await self._ask(self.ip, False) is Ear.GOOD:
+                        return self._found(self.ip)
         finally:
             lost.cancel()
             self.seeking = None
--- a/irisdeal/vane/sources.py
+++ b/irisdeal/vane/sources.py
@@ -43,6 +43,7 @@
 MOST_LEFT = 8.0  # s
 PAUSE, MOST_PAUSE = 0.05, 0.15  # s before the next source is tried: drawn between these
 AGAIN = 3  # times as long where all that are there were of no use a moment ago
+FIRST = 2.0  # s from its start that a door stays with its first sources though they have no contact yet
 IDLE = 0.02  # s: an answer that comes sooner and brings nothing was not held, and the next ask waits `MOST_PAUSE`
 PLACE = 0.06  # s for a registry to answer an ask for a place: some ways there and back
 DEAF = 0.5  # s that a registry which did not answer an ask for a place in time is not asked for one
@@ -145,9 +146,13 @@
         now = self.loop.time()
         others = [other for other in self._candidates() if not self._is_left(other, now)]
         if not is_good:
-            return bool(others)
+            return bool(others) and not self._waits()
         return ip == self.using[0] and not any(map(self._is_near, self.using)) and any(map(self._is_near, others))
 
+    def _waits(self) -> bool:
+        """Whether we have just started and no source had contact yet: all may be starting, and tell when they do."""
+        return self.as_of == float("-inf") and self.loop.time() - self.born < FIRST
+
     async def _follow(self) -> None:
         while True:
             ip = next(iter(self._candidates()), None)
@@ -197,7 +202,7 @@
             is_good = self._hear_age(ip, sent, age, change)
             self._hear_zones(ip, zones, is_good)
             self._judge()
-            if not is_good and not self._is_left(ip, self.loop.time()):
+            if not is_good and not self._is_left(ip, self.loop.time()) and not self._waits():
                 tell(410, source=ip, age=age)
                 self._leave(ip)
             if self._better(ip, is_good):
