--- a/irisdeal/almanac/configuration.py
+++ b/irisdeal/almanac/configuration.py
@@ -96,7 +96,8 @@
     limits: Limits = field(default_factory=Limits)
 
 
-READING = dacite.Config(cast=[tuple], type_hooks={float: lambda value: _figure(value)})
+READING = dacite.Config(cast=[tuple], type_hooks={
+    float: lambda value: _figure(value), tuple[str, ...]: lambda value: _texts(value)})
 
 
 def _figure(value: Any) -> float:
@@ -105,6 +106,13 @@
     return float(value)
 
 
+def _texts(value: Any) -> Any:
+    """A text by itself would be taken for a list of its characters, or of those of a name in memory."""
+    if not isinstance(value, list | tuple):
+        raise dacite.DaciteError(f"wanted a list of texts, got {value!r}")
+    return value
+
+
 def faults(configuration: Configuration) -> list[str]:
     """Each fault by its place and what was wanted; none where it is valid."""
     found: list[str] = []
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -235,6 +235,14 @@
     assert isinstance(read(b"{"), Failure) and read(body(data)).unwrap() is one
 
 
+@pytest.mark.parametrize("keys", ["abc", {"a": 1}, 7, None, [7], [None]])
+def test_keys_that_are_no_list_of_texts_are_a_fault(keys: Any) -> None:
+    data = configuration(20)
+    data["tenants"][0]["api_keys"] = keys
+    assert isinstance(read_whole(body(data)), Failure)
+    assert isinstance(run(reading(body(data), None)), Failure)
+
+
 @pytest.mark.parametrize("value", ["\ud800", "a\udfff"])
 def test_halves_of_characters_are_a_fault_where_they_would_be_sent(value: str) -> None:
     for place in ("key", "tenant", "prefix", "host"):
