--- a/irisdeal/squall/stage.py
+++ b/irisdeal/squall/stage.py
@@ -115,7 +115,12 @@
             tolerance=Tolerance(1), bounds=BOUNDS)
 
     def start(self, host: str, first: bool = False) -> None:
-        """The process of this machine starts, with the settings of this moment and the disk as it is."""
+        """The process of this machine starts, with the settings of this moment and the disk as it is.
+
+        Not where the machine has gone meanwhile.
+        """
+        if host not in self.hosts:
+            return
         machine = self.machines[host] = Host(self, host)
         machine.disk_time = self.chance.choice(self.disk_times)
         settings = self.settings(host, first)
@@ -145,8 +150,9 @@
             self.disks[host] = MemoryDisk()
 
     def term(self, host: str) -> None:
-        """SIGTERM; SIGKILL after the grace."""
+        """SIGTERM; SIGKILL after the grace. The machine goes with its process."""
         if self.is_up(host) and host in self.ends:
+            self.machines[host].on_exit = lambda: self.later(0.0, self.remove, host)
             self.machines[host].call_soon(self.ends[host].set)
         self.later(GRACE, self.remove, host)
 
