--- a/irisdeal/almanac/configuration.py
+++ b/irisdeal/almanac/configuration.py
@@ -104,10 +104,11 @@
 
 
 LISTS: tuple[Any, ...] = (
-    tuple[str, ...], tuple[Share, ...], tuple[Rule, ...], tuple[Socket, ...], tuple[Pool, ...], tuple[Tenant, ...],
+    tuple[Share, ...], tuple[Rule, ...], tuple[Socket, ...], tuple[Pool, ...], tuple[Tenant, ...],
     tuple[Tenant, ...] | None)
-READING = dacite.Config(
-    cast=[tuple], type_hooks={float: lambda value: _figure(value), **dict.fromkeys(LISTS, _list)})
+READING = dacite.Config(cast=[tuple], type_hooks={
+    float: lambda value: _figure(value), tuple[str, ...]: lambda value: _texts(value),
+    **dict.fromkeys(LISTS, _list)})
 
 
 def _figure(value: Any) -> float:
@@ -116,6 +117,13 @@
     return float(value)
 
 
+def _texts(value: Any) -> Any:
+    """A text by itself would be taken for a list of its characters, or of those of a name in memory."""
+    if not isinstance(value, list | tuple):
+        raise dacite.DaciteError(f"wanted a list of texts, got {value!r}")
+    return value
+
+
 def faults(configuration: Configuration) -> list[str]:
     """Each fault by its place and what was wanted; none where it is valid."""
     found: list[str] = []
