--- a/irisdeal/vane/sources.py
+++ b/irisdeal/vane/sources.py
@@ -150,7 +150,8 @@
         return ip == self.using[0] and not any(map(self._is_near, self.using)) and any(map(self._is_near, others))
 
     def _waits(self) -> bool:
-        """Whether we have just started and no source had contact yet: all may be starting, and tell when they do."""
+        """Whether we have just started and no source had contact yet: all may be starting, and tell when they have
+        it."""
         return self.as_of == float("-inf") and self.loop.time() - self.born < FIRST
 
     async def _follow(self) -> None:
