--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -13,7 +13,7 @@
 import pytest
 from returns.result import Success
 
-from benchmarks.capacity import fit, places
+from benchmarks.capacity import fit, page, places, sweep
 from benchmarks.capacity.configuration import make
 from benchmarks.capacity.hollow import HollowSources, Shared
 from benchmarks.capacity.laws import LAWS, configured
@@ -23,7 +23,6 @@
 from benchmarks.capacity.size import DOOR_BYTES, WHOLE, Size, part
 from benchmarks.capacity.tally import Tally
 from irisdeal.almanac.model import read
-from irisdeal.almanac.shelf import Have, Shelf
 from irisdeal.almanac.word import Word
 from irisdeal.gauge.registry import Life
 from irisdeal.mast.settings import Settings
@@ -42,15 +41,6 @@
     return [f"i-{number}", "svc", f"10.0.0.{number}:8080", "zone0", 2, 0, 1, 0]
 
 
-def parcel() -> list[Any]:
-    """The word, for one that has nothing."""
-    shelf = Shelf()
-    shelf.hold(WORD)
-    whole = shelf.parcel(Have(), WORD.stamp)
-    assert whole is not None
-    return whole
-
-
 class Registry:
     """A scripted registry: news as they are given to it, and all that it was asked."""
 
@@ -85,11 +75,11 @@
     try:
         for at, registry in enumerate(registries):  # in turn, so that both doors know the same
             await until(lambda registry=registry: len(registry.heard) >= 1)  # type: ignore[misc]
-            registry.script.put_nowait(
-                [parcel() if at == 0 else None, 7 + at, 2, [[told(1), False], [told(2), False]], roster, 0, 1])
+            word = [WORD.stamp.number, WORD.stamp.digest, WORD.body] if at == 0 else None
+            registry.script.put_nowait([word, 7 + at, 2, [[told(1), False], [told(2), False]], roster, True])
             await until(lambda registry=registry: len(registry.heard) >= 3)  # type: ignore[misc]
         for registry in registries:
-            registry.script.put_nowait([None, 7, 3, [[told(3), True]], roster, 0, 1])
+            registry.script.put_nowait([None, 7, 3, [[told(3), True]], roster, True])
         await until(lambda: all(len(registry.heard) >= 4 for registry in registries))
         await asyncio.sleep(0.02)
     finally:
@@ -149,8 +139,8 @@
         shared = Shared()
         doors = [HollowSources(settings(), shared) for _ in range(3)]
         for door in doors:
-            door._hear_word(IPS[0], door._have(IPS[0]), parcel(), 1)
-            door._hear_lives(IPS[0], [[told(1), False]])
+            word = [WORD.stamp.number, WORD.stamp.digest, bytes(WORD.body)]
+            door._hear(IPS[0], word, [[told(1), False]], [*IPS])
         assert len(shared.lives) == 1 and len(shared.words) == 1
         assert all(door.word is doors[0].word and not door.lives for door in doors)
     asyncio.run(main())
@@ -170,19 +160,19 @@
         await server.listen((IPS[0], PORTS[0]))
         client = Link((IPS[0], PORTS[0]), "me")
         for _ in range(3):
-            assert await client.call("place", "word", PATIENCE) == Success("wordword")
+            assert await client.call("lend", "word", PATIENCE) == Success("wordword")
         assert client.tell("loads", [1])
         await until(lambda: "in loads" in tally.counts)
         client.close()
         server.close()
     asyncio.run(main())
-    asks = sum(len(encode([number, "place", "word"])) for number in (1, 2, 3))
+    asks = sum(len(encode([number, "lend", "word"])) for number in (1, 2, 3))
     answers = sum(len(encode([number, True, "wordword"])) for number in (1, 2, 3))
     word = len(encode([-1, "loads", [1]]))
     hello = len(encode([0, "hello", "me"]))
     assert tally.counts == {
-        "out hello": [1, hello], "in hello": [1, hello], "out place": [3, asks], "in place": [3, asks],
-        "answer place": [3, answers], "in answer": [3, answers], "out loads": [1, word], "in loads": [1, word]}
+        "out hello": [1, hello], "in hello": [1, hello], "out lend": [3, asks], "in lend": [3, asks],
+        "answer lend": [3, answers], "in answer": [3, answers], "out loads": [1, word], "in loads": [1, word]}
 
 
 def test_the_made_up_configuration_is_valid_and_as_long_as_its_formula_says() -> None:
@@ -215,6 +205,14 @@
         assert any(law.measured(runs[name]) for name in FIT), law.name
 
 
+def test_the_laws_meet_the_sweep_at_a_hundred_machines_and_three_hundred() -> None:
+    runs = load()
+    for day in sweep.DAYS[1:]:
+        told = sweep.kinds(day, lambda name: page.grows(page.law("registry", name), runs),
+                           page.news_of(runs), page.asked(runs)[0], runs["30"]["beats"]["bytes"])
+        assert abs(sum(told.values()) / day.measured - 1) < page.WITHIN
+
+
 def test_the_tables_of_the_page_are_those_of_the_stored_runs() -> None:
     text = PAGE.read_text("utf-8")
     for name in TABLES:
