Tests of capacity follow news and calls as they are now

Cause: joined, news carry a parcel and an age, and calls are those of the table. Change: the scripted registry and the names of calls; no check is eased. Measured: test_capacity.py passes.

--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -23,6 +23,7 @@
 from benchmarks.capacity.size import DOOR_BYTES, WHOLE, Size, part
 from benchmarks.capacity.tally import Tally
 from irisdeal.almanac.model import read
+from irisdeal.almanac.shelf import Have, Shelf
 from irisdeal.almanac.word import Word
 from irisdeal.gauge.registry import Life
 from irisdeal.mast.settings import Settings
@@ -41,6 +42,15 @@
     return [f"i-{number}", "svc", f"10.0.0.{number}:8080", "zone0", 2, 0, 1, 0]
 
 
+def parcel() -> list[Any]:
+    """The word, for one that has nothing."""
+    shelf = Shelf()
+    shelf.hold(WORD)
+    whole = shelf.parcel(Have(), WORD.stamp)
+    assert whole is not None
+    return whole
+
+
 class Registry:
     """A scripted registry: news as they are given to it, and all that it was asked."""
 
@@ -75,11 +85,11 @@
     try:
         for at, registry in enumerate(registries):  # in turn, so that both doors know the same
             await until(lambda registry=registry: len(registry.heard) >= 1)  # type: ignore[misc]
-            word = [WORD.stamp.number, WORD.stamp.digest, WORD.body] if at == 0 else None
-            registry.script.put_nowait([word, 7 + at, 2, [[told(1), False], [told(2), False]], roster, True])
+            whole = parcel() if at == 0 else None
+            registry.script.put_nowait([whole, 7 + at, 2, [[told(1), False], [told(2), False]], roster, 0, 1])
             await until(lambda registry=registry: len(registry.heard) >= 3)  # type: ignore[misc]
         for registry in registries:
-            registry.script.put_nowait([None, 7, 3, [[told(3), True]], roster, True])
+            registry.script.put_nowait([None, 7, 3, [[told(3), True]], roster, 0, 1])
         await until(lambda: all(len(registry.heard) >= 4 for registry in registries))
         await asyncio.sleep(0.02)
     finally:
@@ -139,8 +149,8 @@
         shared = Shared()
         doors = [HollowSources(settings(), shared) for _ in range(3)]
         for door in doors:
-            word = [WORD.stamp.number, WORD.stamp.digest, bytes(WORD.body)]
-            door._hear(IPS[0], word, [[told(1), False]], [*IPS])
+            door._hear_word(IPS[0], door._have(IPS[0]), parcel(), 1)
+            door._hear_lives(IPS[0], [[told(1), False]])
         assert len(shared.lives) == 1 and len(shared.words) == 1
         assert all(door.word is doors[0].word and not door.lives for door in doors)
     asyncio.run(main())
