--- a/tests/test_known_age.py
+++ b/tests/test_known_age.py
@@ -140,7 +140,7 @@
 
 @pytest.mark.parametrize("offset", range(0, 13))
 def test_an_answer_that_a_link_held_back_makes_nothing_younger(offset: int) -> None:
-    """What others say to one member comes 0.3 s late; meanwhile they decide, and it is told nothing of that."""
+    """What others say to one member comes 0.3 s late; meanwhile they decide, and it hears nothing of that."""
     stores = Stores(3, 1)
     late, *others = stores.hosts
     when: dict[str, float] = {}
