--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -27,6 +27,7 @@
 
 PAGE = ROOT / "docs" / "CAPACITY.md"
 WEIGHED = MEASURED.with_name("weighed.json")
+JOINED = MEASURED.with_name("joined.json")
 DIFFERENCES = MEASURED.with_name("differences.json")
 WITHIN = 0.2  # of what was measured, that a prediction may be off
 PLAIN = ("in news", "answer news", "in count", "answer count", "in told", "out told", "in sums", "out sums",
@@ -295,12 +296,30 @@
     return "\n".join(lines)
 
 
+def joined_table(runs: Runs) -> str:
+    """Today's program beside the joined parts of Control 1 at d7196e2, in the same shapes."""
+    lines = ["| run | program | change: B out of a registry | change: registry's processor s | at all doors s "
+             "| door's processor s | doors one by one: B out of a registry | at once: s, unsettled |",
+             "| --- | --- | --- | --- | --- | --- | --- | --- |"]
+    joined = load(JOINED)
+    for name in joined:
+        for program, told in (("today", runs[name]), ("joined, a trial", joined[name])):
+            phases = told["phases"]
+            change, start, once = phases["change"], phases["doors one by one"], phases["all doors at once"]
+            lines.append(
+                f"| {name} | {program} | {figure(change['registry']['kinds']['answer news'][1])} "
+                f"| {figure(change['registry']['cpu'])} | {figure(change.get('at_doors_s'))} "
+                f"| {figure(change['door_cpu_s'])} | {figure(start['registry']['kinds']['answer news'][1])} "
+                f"| {figure(once['seconds'])}, {once['unsettled']} |")
+    return "\n".join(lines)
+
+
 TABLES: dict[str, Callable[[Runs], str]] = {
     "slopes": slopes_table, "door": door_table, "kinds": kinds_table, "release": release_table,
     "phases": phases_table,
     "check": check_table, "places": places_table,
     "events": events_table, "breaks": breaks_table, "differences": differences_table,
-    "sweep": sweep_table}
+    "sweep": sweep_table, "joined": joined_table}
 
 
 def tables() -> str:
