--- a/irisdeal/almanac/member.py
+++ b/irisdeal/almanac/member.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import math
 from typing import Any
 
@@ -92,11 +93,17 @@
         tell(209, change=value.change, generation=f"r{value.stamp.number}", list=members.number)
         if members != before:
             tell(220 if members.former else 221, list=members.number, seats=" ".join(members.seats))
+            self.tasks.start(self._save())  # who goes by this list is needed by the one before it
         self.proposer.decided()
         self._enforce()
         if self.force != value and (self.taking is None or self.taking.done()):
             self.taking = self.tasks.start(self._take_over(ips))
 
+    async def _save(self) -> None:
+        """Where the disk refuses the next round tries again; it is told as event 203."""
+        with contextlib.suppress(OSError):
+            await self.acceptor.save()
+
     def announce(self, ballot: Ballot, value: Value) -> None:
         """We decided this: all hear of it."""
         self.learn(value, [])
--- a/irisdeal/almanac/rounds.py
+++ b/irisdeal/almanac/rounds.py
@@ -109,6 +109,7 @@
     def tell_leaving(self) -> None:
         """All hear that we leave."""
         self.leaving = True
+        self.heard.heard(self.report(), now())
         for ip in self.others():
             self.tasks.start(self.ask(ip))
 
