--- a/tests/fault_proxy.py
+++ b/tests/fault_proxy.py
@@ -1,8 +1,8 @@
 """A proxy of our own between processes: one gate for each pair of caller and called, with two directions.
 
-Members find each other by an address and one port, the first of their own range. Each member of a test has a range
-of its own, so it calls `(other's address, own port)`: there is the gate of that pair, which leads on to where the
-other one listens.
+Members find each other by an address and one port, the first of their own range. Each member of a test has a
+range of its own, so it calls `(other's address, own port)`: there is the gate of that pair, which leads on to
+where the other one listens.
 """
 
 from __future__ import annotations
@@ -15,7 +15,7 @@
 
 
 class Gate:
-    """TCP from one address to another. What comes while a direction is shut waits; nothing is lost or reordered."""
+    """TCP from one address to another. What comes while a direction is shut waits, whole and in order."""
 
     def __init__(self, at: Address, to: Address) -> None:
         self.at, self.to = at, to
