--- a/tests/fault_proxy.py
+++ b/tests/fault_proxy.py
@@ -15,7 +15,7 @@
 
 
 class Gate:
-    """TCP from one address to another. What comes while a direction is shut waits; nothing is lost."""
+    """TCP from one address to another. What comes while a direction is shut waits, whole and in order."""
 
     def __init__(self, at: Address, to: Address) -> None:
         self.at, self.to = at, to
