--- a/tests/features/core.feature
+++ b/tests/features/core.feature
@@ -39,7 +39,7 @@
     Examples:
       | bug                          | play         | seed |
       | accept not synced            | day: any     | 1    |
-      | learner counted              | duels: wipe  | 6    |
+      | learner counted              | duels: wipe  | 7    |
       | lease from the answer        | day: one way | 22   |
       | body in force before decided | duels: none  | 13   |
       | an order again refused       | day: any     | 1    |
