--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -297,7 +297,7 @@
 
 
 def joined_table(runs: Runs) -> str:
-    """Today's program beside the joined parts of Control 1 at d7196e2, in the same shapes."""
+    """Today's program beside the joined parts of Control 1 at e5f8d29, in the same shapes."""
     lines = ["| run | program | change: B out of a registry | change: registry's processor s | at all doors s "
              "| door's processor s | doors one by one: B out of a registry | at once: s, unsettled |",
              "| --- | --- | --- | --- | --- | --- | --- | --- |"]
