--- a/irisdeal/gauge/messages.py
+++ b/irisdeal/gauge/messages.py
@@ -10,6 +10,8 @@
 from irisdeal.permits.messages import HeldReport, ReserveReply
 from irisdeal.ratelimit.interval_counter import Usages, decode_usages, encode_usages
 
+IS_REPEAT, IS_COUNTED, IS_LATE = 1, 2, 4  # flags of a `PlaceRequest` on the wire
+
 
 @dataclass(frozen=True, slots=True)
 class PlaceRequest:
@@ -36,6 +38,7 @@
 
     def encode(self) -> list[Any]:
         """For the wire."""
+        flags = IS_REPEAT * self.is_repeat + IS_COUNTED * self.is_counted + IS_LATE * self.is_late
         return [
             self.zone,
             self.service,
@@ -45,16 +48,14 @@
             self.hold_s,
             self.left_s,
             self.tenant,
-            self.is_repeat,
-            self.is_counted,
-            self.is_late,
+            flags,
             list(self.connected),
         ]
 
     @staticmethod
     def decode(told: Any) -> PlaceRequest:
         """ValueError, TypeError where it is none."""
-        zone, service, usual, avoid, rank, hold, left, tenant, is_repeat, is_counted, is_late, connected = told
+        zone, service, usual, avoid, rank, hold, left, tenant, flags, connected = told
         return PlaceRequest(
             str(zone),
             str(service),
@@ -64,9 +65,9 @@
             float(hold),
             float(left),
             str(tenant),
-            bool(is_repeat),
-            bool(is_counted),
-            bool(is_late),
+            bool(flags & IS_REPEAT),
+            bool(flags & IS_COUNTED),
+            bool(flags & IS_LATE),
             connected,
         )
 
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -14,6 +14,7 @@
 
 from irisdeal.gauge.authority_watch import AuthorityWatch
 from irisdeal.gauge.list_record import ListRecord, decode, encode
+from irisdeal.gauge.messages import PlaceRequest
 from irisdeal.mast.process import Tasks
 from irisdeal.permits.allowance import CLOCK_FAST, IN_FLIGHT_S, Limit, QuotaRule, allowance
 from irisdeal.permits.authority import GUARD_S, MOST_AGE_S, RESERVE_GUARD_S, IssuerList, IssuingAuthority
@@ -247,6 +248,13 @@
             HeldReport.decode(told)
 
 
+@pytest.mark.parametrize("flags", range(8))
+def test_an_ask_for_a_place_is_read_as_it_was_written(flags: int) -> None:
+    told = [bool(flags & flag) for flag in (1, 2, 4)]
+    ask = PlaceRequest("z", "s", 0.1, [3], 1, 0.2, 0.9, "t", *told, [5])
+    assert PlaceRequest.decode(ask.encode()) == ask
+
+
 def test_holders_are_bounded_and_forgotten() -> None:
     outstanding = OutstandingPermits()
     for number in range(9000):
