--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -250,8 +250,8 @@
 
 @pytest.mark.parametrize("flags", range(8))
 def test_an_ask_for_a_place_is_read_as_it_was_written(flags: int) -> None:
-    told = [bool(flags & flag) for flag in (1, 2, 4)]
-    ask = PlaceRequest("z", "s", 0.1, [3], 1, 0.2, 0.9, "t", *told, [5])
+    is_repeat, is_counted, is_late = (bool(flags & flag) for flag in (1, 2, 4))
+    ask = PlaceRequest("z", "s", 0.1, [3], 1, 0.2, 0.9, "t", is_repeat, is_counted, is_late, [5])
     assert PlaceRequest.decode(ask.encode()) == ask
 
 
