Only buckets that are not full are kept, and a new one fills as the old one had

Cause: at 55,000 tenants a registry went through the buckets of all that asked in 30 s, twice a second; and a tenant first asked after a former life's grants were over had their part of the stock at once, not refilled since. Change: a bucket that is full, and of which proxies hold nothing, is forgotten at the next interval; one that is made anew holds what it would have: the ready part since the process may issue, the reserve from when former grants are over. Holders are looked through only once they are silent for a lease.

--- a/irisdeal/gauge/quota_service.py
+++ b/irisdeal/gauge/quota_service.py
@@ -174,7 +174,7 @@
         ready = self.issuer.not_full(now)
         for tenant in asked:
             if self.issuer.is_limited(tenant):
-                ready[tenant] = self.issuer.bucket(tenant, now).ready(now)
+                ready[tenant] = self.issuer.ready(tenant, now)
         return ready
 
     def finish(self, number: int) -> None:
--- a/irisdeal/gauge/station.py
+++ b/irisdeal/gauge/station.py
@@ -310,7 +310,7 @@
             "issuers": authority.issuers(now),
             "permits": {
                 tenant: {"ready": round(count, 1), "held_ahead": quotas.issuer.outstanding.total(tenant)}
-                for tenant, count in quotas.issuer.ready(now).items()
+                for tenant, count in quotas.issuer.not_full(now).items()
             },
             "backends": [
                 {
--- a/irisdeal/permits/bucket.py
+++ b/irisdeal/permits/bucket.py
@@ -13,13 +13,13 @@
 
 
 class PermitBucket:
-    """The permits that are ready here. `used_at`: s, when one was last asked for."""
+    """The permits that are ready here."""
 
-    def __init__(self, refill_per_s: float, capacity: float, since: float, now: float) -> None:
+    def __init__(self, refill_per_s: float, capacity: float, since: float) -> None:
         """`since`: when it began to fill, from nothing: nothing was issued by this process before."""
         self.refill_per_s, self.capacity = refill_per_s, capacity
         self.permits = 0.0
-        self.filled_at, self.used_at = since, now
+        self.filled_at = since
 
     def change(self, refill_per_s: float, capacity: float, now: float) -> None:
         """Another limit or number of issuers, or proxies hold more: what a smaller bucket cannot hold is gone."""
@@ -45,7 +45,6 @@
         `is_late`: it came back when its aim was past already, and is worth a tenth or a third of a fresh one: in a
         flood permits are short, and a part of them is kept from such requests.
         """
-        self.used_at = now
         kept = FRESH_SHARE * self.capacity if is_late else 0.0
         if self.ready(now) < cost + kept:
             return False
--- a/irisdeal/permits/issuer.py
+++ b/irisdeal/permits/issuer.py
@@ -12,8 +12,6 @@
 from irisdeal.permits.messages import HeldReport, ReserveReply
 from irisdeal.permits.outstanding import LEASE_GUARD_S, OutstandingPermits
 
-IDLE_S = 30.0  # s after which a tenant's bucket that nobody asks is forgotten
-
 
 class Claim(Enum):
     """What came of an ask for a permit."""
@@ -53,15 +51,25 @@
 
     def bucket(self, tenant: str, now: float) -> PermitBucket:
         """The tenant's bucket, by its limit, the number of issuers and what proxies hold now."""
-        share = self._share(tenant, now)
-        capacity = share.ready + self._reserve_left(tenant, share, now)
         bucket = self.buckets.get(tenant)
         if bucket is None:
-            since = min(now, max(self.born, self.authority.entitled_at))
-            bucket = self.buckets[tenant] = PermitBucket(share.refill_per_s, capacity, since, now)
-        bucket.change(share.refill_per_s, capacity, now)
+            bucket = self.buckets[tenant] = self._filled_since_start(tenant, now)
+        share = self._share(tenant, now)
+        bucket.change(share.refill_per_s, self._capacity(tenant, share, now), now)
+        return bucket
+
+    def _filled_since_start(self, tenant: str, now: float) -> PermitBucket:
+        """A bucket from which nothing was taken since this process may issue, and of which proxies hold nothing."""
+        share = self._share(tenant, now)
+        since = min(now, max(self.born, self.authority.entitled_at))
+        bucket = PermitBucket(share.refill_per_s, share.ready, since)
+        if now > self.reserves_from:  # the part that a former life's holders might have used fills from then on
+            bucket.change(share.refill_per_s, share.ready + share.reserved, self.reserves_from)
         return bucket
 
+    def _capacity(self, tenant: str, share: Allowance, now: float) -> float:
+        return share.ready + self._reserve_left(tenant, share, now)
+
     def _reserve_left(self, tenant: str, share: Allowance, now: float) -> float:
         """What proxies might hold and do not; none before a former life's grants are over."""
         if now < self.reserves_from:
@@ -129,15 +137,22 @@
             return 0
         return self.bucket(tenant, now).lend(wanted, kept, now)
 
-    def ready(self, now: float) -> dict[str, float]:
-        """Permits that are ready here, by tenant."""
-        return {tenant: bucket.ready(now) for tenant, bucket in self.buckets.items()}
+    def ready(self, tenant: str, now: float) -> float:
+        """Permits of a tenant with a limit that are ready here."""
+        bucket = self.buckets.get(tenant) or self._filled_since_start(tenant, now)
+        return bucket.ready(now)
 
     def not_full(self, now: float) -> dict[str, float]:
-        """Permits that are ready in buckets that are not full; full ones that nobody asks for long are
-        forgotten."""
+        """Permits that are ready in buckets that are not full.
+
+        Full ones of which proxies hold nothing are forgotten: a new one is as full.
+        """
         self.outstanding.expire(now)
-        for tenant, bucket in list(self.buckets.items()):
-            if now - bucket.used_at > IDLE_S and bucket.is_full(now):
+        levels = {}
+        for tenant in list(self.buckets):
+            bucket = self.bucket(tenant, now)
+            if not bucket.is_full(now):
+                levels[tenant] = bucket.ready(now)
+            elif not self.outstanding.total(tenant) and now > self.reserves_from:
                 del self.buckets[tenant]
-        return {tenant: bucket.ready(now) for tenant, bucket in self.buckets.items() if not bucket.is_full(now)}
+        return levels
--- a/irisdeal/permits/outstanding.py
+++ b/irisdeal/permits/outstanding.py
@@ -81,10 +81,10 @@
             self.totals.pop(tenant, None)
 
     def expire(self, now: float) -> None:
-        """Forget what nobody may use any more. Until then it counts, which is on the safe side."""
+        """Forget holders that are silent for a whole lease. Until then what they had counts, on the safe side."""
         for number, holder in list(self.holders.items()):
-            for tenant, grant in list(holder.grants.items()):
-                if grant.until <= now:
-                    self._set(holder, tenant, 0, now)
-            if not holder.grants and holder.heard_at + LEASE_GUARD_S <= now:
-                del self.holders[number]
+            if now < holder.heard_at + LEASE_GUARD_S:
+                continue
+            for tenant in list(holder.grants):
+                self._set(holder, tenant, 0, now)
+            del self.holders[number]
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -57,7 +57,7 @@
 @given(st.integers(0, 10_000), st.floats(0.1, 200), st.floats(1, 50))
 def test_a_bucket_gives_no_more_than_it_was_refilled(seed: int, refill: float, capacity: float) -> None:
     chance = random.Random(seed)
-    bucket, now, given_out = PermitBucket(refill, capacity, 0.0, 0.0), 0.0, 0.0
+    bucket, now, given_out = PermitBucket(refill, capacity, 0.0), 0.0, 0.0
     for _ in range(400):
         now += chance.expovariate(2 * refill)
         match chance.randrange(4):
@@ -71,13 +71,13 @@
 
 
 def test_a_part_of_a_bucket_is_kept_from_those_that_come_too_late() -> None:
-    bucket = PermitBucket(1.0, 10.0, -99.0, 0.0)
+    bucket = PermitBucket(1.0, 10.0, -99.0)
     late = sum(bucket.claim(0.0, is_late=True) for _ in range(99))
     assert late == 6 and sum(bucket.claim(0.0) for _ in range(99)) == 4
 
 
 def test_what_is_borrowed_beyond_the_room_is_gone() -> None:
-    bucket = PermitBucket(0.0, 3.0, 0.0, 0.0)
+    bucket = PermitBucket(0.0, 3.0, 0.0)
     bucket.add_borrowed(9, 0.0)
     assert bucket.ready(0.0) == 3.0
 
@@ -328,6 +328,37 @@
     assert made.to_record(GUARD_S + 1.0) is None
 
 
+def test_full_buckets_are_forgotten_and_come_back_as_full() -> None:
+    made = issuer()
+    before = made.bucket("t", 50.0).ready(50.0)
+    made.claim("t", KNOWN_S, 50.0)
+    assert set(made.not_full(50.0)) == {"t"} and made.ready("t", 50.0) == pytest.approx(before - 1)
+    assert made.not_full(60.0) == {} and not made.buckets
+    assert made.ready("t", 60.0) == before and not made.buckets
+
+
+def test_the_part_of_a_former_life_s_holders_fills_only_from_when_their_grants_are_over() -> None:
+    made = issuer(100.0)
+    share = made._share("t", 100.0)
+    assert made.ready("t", made.reserves_from) == pytest.approx(share.ready)
+    later = made.reserves_from + 0.1
+    assert made.ready("t", later) == pytest.approx(share.ready + 0.1 * share.refill_per_s)
+
+
+def test_what_proxies_have_used_is_not_back_at_once() -> None:
+    made, held = issuer(), holder()
+    grant(made, held, 9.0)
+    made.not_full(9.4)
+    level = made.ready("t", 9.4)
+    while held.take("t", 9.4):
+        pass
+    held.demand.clear()
+    made.report(held.report("a", 9.5), KNOWN_S, 9.5)
+    made.not_full(9.5)
+    assert made.outstanding.total("t") == 0
+    assert made.ready("t", 9.5) <= level + 0.1 * made._share("t", 9.5).refill_per_s + 1e-6
+
+
 def test_a_registry_that_starts_again_has_only_what_is_refilled_since() -> None:
     made = issuer(100.0)
     share = made._share("t", 100.0)
