--- a/irisdeal/vane/refusal.py
+++ b/irisdeal/vane/refusal.py
@@ -6,8 +6,8 @@
 
 FLOODED_AGAIN_S = 1.0  # after which a client of a tenant that is far over its limit may come back
 AGAIN_S = 0.05  # likewise of one that is not: another proxy may have a permit
-UNKNOWN_AGAIN_S = 0.5  # likewise while no total is known: registries that start again have little to give at first
-NO_PERMIT_AGAIN_S = 0.3  # likewise where no registry gives permits: one that starts again is back in a second
+UNKNOWN_AGAIN_S = 1.0  # likewise while no total is known: registries that start again have little to give at first
+NO_PERMIT_AGAIN_S = 0.6  # likewise where no registry gives permits: one that starts again is back in a second
 
 
 class Refused(Exception):
