A test that nothing is written behind the time of its permit; a check's type said in full

Cause: with the look at the permit's time taken out of Pool.send on purpose, no test failed. The new one fails then and passes now. Types, linter and the tests of backends, permits and layout pass.

--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -366,13 +367,13 @@
 
 
 @pytest.mark.parametrize("spoil", [lambda data: data[:-4], lambda data: b"", lambda data: b"x" + data])
-def test_a_record_that_is_torn_is_none(tmp_path: Path, spoil: object) -> None:
+def test_a_record_that_is_torn_is_none(tmp_path: Path, spoil: Callable[[bytes], bytes]) -> None:
     record = ListRecord(str(tmp_path))
     assert record.load() is None
     assert record.save(LISTED) and record.load() == LISTED
     assert decode(encode(LISTED)) == LISTED
     path = tmp_path / "registry" / "issuers.json"
-    path.write_bytes(spoil(path.read_bytes()))  # type: ignore[operator]
+    path.write_bytes(spoil(path.read_bytes()))
     assert record.load() is None
 
 
--- a/tests/test_vane_backends.py
+++ b/tests/test_vane_backends.py
@@ -152,8 +152,13 @@
     assert outcome is not None and outcome.end is End.ANSWER
 
 
-def _kept(monkeypatch: pytest.MonkeyPatch, id_: bytes, left: float) -> tuple[Outcome, Wire]:
-    """The outcome of a request for which a connection rests, and what was written to that one."""
+def _kept(
+    monkeypatch: pytest.MonkeyPatch, id_: bytes, left: float, send_left: float = 9.0,
+) -> tuple[Outcome, Wire]:
+    """The outcome of a request for which a connection rests, and what was written to that one.
+
+    `left`, `send_left`: s of its time, and until when it may be sent.
+    """
     monkeypatch.setattr(backends, "has_bytes", lambda _: False)
 
     async def play() -> tuple[Outcome, Wire]:
@@ -165,8 +170,9 @@
         connection.data_received(FULL)
         pool._rest(connection)
         wire.written.clear()
-        until = loop.time() + left
-        return await pool.send(backend, b"POST / HTTP/1.1\r\n\r\n", id_, False, True, until), wire
+        until, send_by = loop.time() + left, loop.time() + send_left
+        message = b"POST / HTTP/1.1\r\n\r\n"
+        return await pool.send(backend, message, id_, False, True, until, send_by), wire
 
     return asyncio.run(play())
 
@@ -183,6 +189,14 @@
     assert outcome.end is End.UNSENT and not wire.written
 
 
+def test_nothing_is_written_behind_the_time_of_its_permit(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Its permit counts in a window that is over, though the client still waits."""
+    outcome, wire = _kept(monkeypatch, b"b2", 0.05, send_left=-0.01)
+    assert outcome.end is End.UNSENT and not wire.written
+    outcome, wire = _kept(monkeypatch, b"b2", 0.05, send_left=0.05)
+    assert wire.written
+
+
 def test_what_may_run_once_gets_no_connection_that_rested_long(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(backends, "has_bytes", lambda _: False)
 
