--- a/benchmarks/departures.py
+++ b/benchmarks/departures.py
@@ -26,6 +26,7 @@
 CORE, PROXY = "127.9.0.1", "127.9.0.2"
 FIRST_PORT, PORTS = 18_600, 16
 CONTROL, FRONT, READINESS, BACKEND = 18_700, 18_701, 18_702, 18_703
+METRICS = {"vane": 18_710, "gauge": 18_711, "almanac": 18_712}
 GRACE_S = 6.0  # from SIGTERM to SIGKILL
 UP_BY_S = 15.0  # for a gateway to serve its first request
 PATIENCE_S = 9.0  # that a client waits for an answer
@@ -35,6 +36,7 @@
 role = "{name}"
 ip = "{ip}"
 zone = "z"
+metrics = "{metrics}/metrics"
 port_range = [{port}, {last}]
 seed_peers = ["{core}:{control}"]
 bootstrap = true
@@ -197,7 +199,7 @@
         settings = self.folder / f"{role}.toml"
         settings.write_text(
             SETTINGS.format(
-                name=role,
+                name=role, metrics=METRICS[role],
                 ip=ip,
                 port=FIRST_PORT,
                 last=FIRST_PORT + PORTS - 1,
--- a/irisdeal/almanac/member.py
+++ b/irisdeal/almanac/member.py
@@ -14,6 +14,7 @@
 from irisdeal.almanac.contact import LEASE
 from irisdeal.almanac.folder import Folder
 from irisdeal.almanac.members import Members
+from irisdeal.almanac.metrics import StoreMetrics
 from irisdeal.almanac.peers import Peers, now
 from irisdeal.almanac.proposer import Proposer
 from irisdeal.almanac.register import UNKNOWN, Ballot, Outcome, Value
@@ -22,6 +23,7 @@
 from irisdeal.almanac.shelf import Have
 from irisdeal.almanac.succession import may_go
 from irisdeal.almanac.word import NOTHING, Stamp, Word
+from irisdeal.http1.metrics_server import MetricsServer
 from irisdeal.mast import places
 from irisdeal.mast.events import tell
 from irisdeal.mast.process import Tasks
@@ -51,6 +53,9 @@
         self.taking: asyncio.Task[None] | None = None
         self.news = asyncio.Event()
         self.server = Server(self.handle)
+        self.metrics = StoreMetrics()
+        self.proposer.on_decided = lambda seats: self.metrics.decisions.add(str(seats))
+        self.metrics_server = MetricsServer(settings, self.metrics, asyncio.get_running_loop())
 
     # What a process does
 
@@ -62,6 +67,7 @@
         self._enforce()
         await self.server.listen((self.ip, places.port(self.settings, places.ALMANAC)))
         self.tasks.start(self.rounds.run())
+        await self.metrics_server.start()
 
     async def stop(self) -> None:
         self.rounds.tell_leaving()
@@ -72,6 +78,7 @@
         tell(227 if self._may_go() else 228, seat=self.acceptor.seat)
         self.tasks.cancel()
         self.server.close()
+        self.metrics_server.close()
         self.peers.close()
 
     def _may_go(self) -> bool:
--- /dev/null
+++ b/irisdeal/almanac/metrics.py
@@ -0,0 +1,16 @@
+"""What a store counts of what it decided."""
+
+from __future__ import annotations
+
+from irisdeal.mast.metrics import Metrics
+
+
+class StoreMetrics(Metrics):
+    """The figures of one store."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.decisions = self.counter(
+            "decisions", "Ballots of ours that decided, by how many seats had synced the value by then.", "seats"
+        )
+        self.cut_calls = self.counter("cut_calls", "Calls of other processes without an answer at the end.")
--- a/irisdeal/almanac/proposer.py
+++ b/irisdeal/almanac/proposer.py
@@ -42,6 +42,7 @@
         self.compares = compares
         self.chance = random.Random()
         self.turn = asyncio.Lock()
+        self.on_decided: Callable[[int], None] = lambda seats: None  # seats that have synced what we decided
         self.orders: dict[Stamp, tuple[Word, asyncio.Future[Outcome]]] = {}
         self.working = False
         self.news = asyncio.Event()  # something was decided
@@ -175,6 +176,7 @@
                 await self._phase(ballot, Step.ACCEPTING, self._ask_accept, until)
         if ballot.step is Step.DECIDED:
             self.lasted = now() - begun
+            self.on_decided(len(ballot.accepted))
         return ballot
 
     async def _body(self, stamp: Stamp, holders: list[str], until: float) -> bool:
--- /dev/null
+++ b/irisdeal/gauge/metrics.py
@@ -0,0 +1,22 @@
+"""What a registry counts of its acknowledgements and of its end."""
+
+from __future__ import annotations
+
+from irisdeal.mast.metrics import Metrics
+
+
+class RegistryMetrics(Metrics):
+    """The figures of one registry."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.acknowledged_ends = self.counter(
+            "acknowledged_backend_ends",
+            "Acknowledged drains and ends of backends, by how many of the core knew by then.",
+            "machines",
+        )
+        self.refused_ends = self.counter(
+            "unacknowledged_backend_ends", "Drains and ends of backends that too few of the core were told in time."
+        )
+        self.orders = self.counter("orders", "Orders of the operator, by the status answered.", "status")
+        self.cut_calls = self.counter("cut_calls", "Calls from outside without an answer at the end.")
--- a/irisdeal/gauge/station.py
+++ b/irisdeal/gauge/station.py
@@ -22,6 +22,8 @@
 from irisdeal.gauge.quota_service import LEND_S
 from irisdeal.gauge.registry import MOST_LIVES, Life, Registry, State, hear_life, tell_life
 from irisdeal.gauge.store import AGAIN, Follower
+from irisdeal.gauge.metrics import RegistryMetrics
+from irisdeal.http1.metrics_server import MetricsServer
 from irisdeal.http1.server import Answer, HttpServer, Request
 from irisdeal.placement.load_reports import TELL
 from irisdeal.mast import places
@@ -67,6 +69,8 @@
         self.looked = self.loop.time()
         self.server = Server(self.handle, self.admission.quick, self.admission.places.lost)
         self.http = HttpServer(self.outside, self.loop)
+        self.metrics = RegistryMetrics()
+        self.metrics_server = MetricsServer(settings, self.metrics, self.loop)
 
     # What a process does
 
@@ -80,15 +84,25 @@
         self.tasks.start(self.admission.quotas.intervals(self._tell_sum))
         self.tasks.start(self.authority_watch.recall())
         await self.http.listen(address(self.settings.bind.control))
+        await self.metrics_server.start()
 
     async def stop(self) -> None:
         self.http.leaving = True
         await asyncio.sleep(0.1)
+        self._tell_cut()
         self.follower.stop()
         self.tasks.cancel()
         self.http.close()
+        self.metrics_server.close()
         self.server.close()
 
+    def _tell_cut(self) -> None:
+        """What has no answer, or not all of it, as the process ends."""
+        owed, unsent = self.http.owed(), self.http.unsent_bytes()
+        if owed or unsent:
+            self.metrics.cut_calls.add(amount=len(owed))
+            tell(323, calls=len(owed), unsent_bytes=unsent)
+
     def reload(self, settings: Settings) -> None:
         self.settings = settings
         self.follower.reload(settings)
@@ -213,7 +227,9 @@
                 await enough.wait()
         except TimeoutError:
             tell(304, id=life.id, known=len(known), members=len(self.follower.members.ips()))
+            self.metrics.refused_ends.add()
             return False
+        self.metrics.acknowledged_ends.add(str(len(known)))
         return True
 
     def _look(self) -> None:
@@ -278,7 +294,9 @@
             case Leave():
                 return await self._leave(command)
             case Put():
-                return await self._put(command)
+                answer = await self._put(command)
+                self.metrics.orders.add(str(answer.status))
+                return answer
             case Read():
                 known, body = await self.follower.read()
                 if not known:
--- /dev/null
+++ b/irisdeal/http1/metrics_server.py
@@ -0,0 +1,36 @@
+"""Tells a process's figures over HTTP, where the settings ask for it."""
+
+from __future__ import annotations
+
+import asyncio
+
+from irisdeal.http1.server import Answer, HttpServer, Request
+from irisdeal.mast.metrics import CONTENT_TYPE, Metrics, parse_address
+from irisdeal.mast.settings import Settings
+
+
+class MetricsServer:
+    """Answers a GET of the settings' `metrics` path with the figures as text; does nothing where there is none."""
+
+    def __init__(self, settings: Settings, metrics: Metrics, loop: asyncio.AbstractEventLoop) -> None:
+        self.metrics = metrics
+        self.address = parse_address(settings.metrics) if settings.metrics else None
+        self.ip = settings.ip
+        self.http = HttpServer(self._answer, loop)
+
+    async def start(self) -> None:
+        """Listen. OSError where the port is taken."""
+        if self.address is not None:
+            await self.http.listen((self.ip, self.address.port))
+
+    def close(self) -> None:
+        """Listen no more."""
+        self.http.close()
+
+    async def _answer(self, request: Request) -> Answer:
+        assert self.address is not None
+        if request.target.partition(b"?")[0] != self.address.path.encode():
+            return Answer(404, b"no such page\n")
+        if request.method not in (b"GET", b"HEAD"):
+            return Answer(405, b"wanted GET\n", [(b"Allow", b"GET, HEAD")])
+        return Answer(200, self.metrics.text(), [(b"Content-Type", CONTENT_TYPE)])
--- a/irisdeal/http1/server.py
+++ b/irisdeal/http1/server.py
@@ -11,6 +11,7 @@
 import httptools
 
 from irisdeal.http1.framing import FRAMING, OWS, Headers, Malformed, aliased, head
+from irisdeal.http1.phase import Phase
 from irisdeal.mast.process import Tasks
 
 MOST_PIPELINED = 8  # requests of one connection that wait, then it is read no further
@@ -20,7 +21,9 @@
 class Request:
     """A whole request. `left` is set when its client has gone."""
 
-    __slots__ = ("arrived", "bodiless", "body", "headers", "keep", "left", "method", "named", "target")
+    __slots__ = (
+        "arrived", "bodiless", "body", "departed_at", "headers", "keep", "left", "method", "named", "phase",
+        "target")
 
     def __init__(self, method: bytes, target: bytes, headers: Headers, body: bytes, arrived: float) -> None:
         self.method, self.target, self.headers, self.body = method, target, headers, body
@@ -29,6 +32,8 @@
         self.bodiless = method == b"HEAD"
         self.keep = True
         self.left = False
+        self.departed_at: float | None = None  # s on the loop's clock, when its client was seen to have left
+        self.phase = Phase.PIPELINED
 
 
 class Answer:
@@ -84,8 +89,15 @@
         for request in (self.at_work, *self.waiting):
             if request is not None:
                 request.left = True
+                self._departed(request)
         self.waiting.clear()
 
+    def _departed(self, request: Request) -> None:
+        """Its client was seen to have left, or to send no more."""
+        if request.departed_at is None:
+            request.departed_at = self.loop.time()
+            self.server.on_departed(request)
+
     def data_received(self, data: bytes) -> None:
         if self.ending or self.parser is None:
             return
@@ -105,6 +117,9 @@
         last = self._last()
         if last is not None:
             self.ending, last.keep = True, False
+            for request in (self.at_work, *self.waiting):
+                if request is not None:
+                    self._departed(request)
         return last is not None
 
     def _last(self) -> Request | None:
@@ -181,6 +196,7 @@
     def _next(self) -> None:
         if self.waiting:
             self.at_work = self.waiting.popleft()
+            self.at_work.phase = Phase.STARTED
             self.server.at_work += 1
             self.server.tasks.start(self._serve(self.at_work))
 
@@ -191,6 +207,7 @@
         finally:
             self.server.at_work -= 1
             self.at_work = None
+            request.phase = Phase.ANSWERED
             self._reply(request, answer)
 
     def _reply(self, request: Request, answer: Answer) -> None:
@@ -249,6 +266,7 @@
         self.handler, self.loop, self.bounds = handler, loop, Bounds()
         self.connections: set[Connection] = set()
         self.tasks = Tasks()
+        self.on_departed: Callable[[Request], None] = lambda request: None
         self.at_work, self.leaving = 0, False
         self.listening: asyncio.Server | None = None
         self.looking: asyncio.TimerHandle | None = None
@@ -270,11 +288,19 @@
             connection.look(now, self.bounds)
         self.looking = self.loop.call_later(1.0, self._look)
 
-    def close_idle(self) -> None:
-        """End the connections on which nothing is at work or coming."""
-        for connection in list(self.connections):
-            if connection.at_work is None and not connection.waiting and not connection.reading:
-                connection.drop()
+    def owed(self) -> list[Request]:
+        """The requests that have no answer yet."""
+        return [
+            request
+            for connection in self.connections
+            for request in (connection.at_work, *connection.waiting)
+            if request is not None
+        ]
+
+    def unsent_bytes(self) -> int:
+        """Bytes of answers that the system has not taken yet."""
+        transports = (connection.transport for connection in self.connections)
+        return sum(transport.get_write_buffer_size() for transport in transports if transport is not None)
 
     def close(self) -> None:
         if self.looking is not None:
--- a/irisdeal/mast/settings.py
+++ b/irisdeal/mast/settings.py
@@ -10,6 +10,7 @@
 import dacite
 from returns.result import Failure, Result, Success
 
+from irisdeal.mast.metrics import parse_address
 from irisdeal.mast.trouble import Trouble
 
 Address = tuple[str, int]
@@ -63,6 +64,7 @@
     data_path: str = ""
     beat_interval_ms: int = 1500
     config_source: str = "highest"  # how an order is compared with what holds; else another body is refused
+    metrics: str = ""  # PORT/PATH at which this process tells its figures; empty where it does not
     bounds: tuple[str, ...] = ()
     zones: dict[str, str] = field(default_factory=dict)
     bind: Bind = field(default_factory=Bind)
@@ -102,6 +104,8 @@
         for text in (*settings.seed_peers, settings.bind.front, settings.bind.readiness, settings.bind.control):
             if text:
                 address(text)
+        if settings.metrics:
+            parse_address(settings.metrics)
     except dacite.DaciteError as error:
         return Failure(Trouble("settings", getattr(error, "field_path", None) or "file", str(error)))
     except (ValueError, TypeError) as error:
--- a/irisdeal/vane/door.py
+++ b/irisdeal/vane/door.py
@@ -9,11 +9,14 @@
 
 import asyncio
 import random
+from collections import Counter
 
 from irisdeal.almanac.word import Word
 from irisdeal.gauge.messages import PlaceEnd
 from irisdeal.gauge.registry import Life, State
 from irisdeal.http1.framing import HOP, aliased
+from irisdeal.http1.metrics_server import MetricsServer
+from irisdeal.http1.phase import Phase
 from irisdeal.http1.server import Answer, HttpServer, Request
 from irisdeal.placement.attempt_end import How
 from irisdeal.placement.load_reports import key
@@ -27,6 +30,7 @@
 from irisdeal.vane.applying import Applying
 from irisdeal.vane.attempt_placement import LEAST_HOLD_S, AttemptNeeds, AttemptPlacer, Placed
 from irisdeal.vane.backends import End, Outcome, Pool
+from irisdeal.vane.metrics import ProxyMetrics
 from irisdeal.vane.refusal import Refused, over_quota
 from irisdeal.vane.registry_client import RegistryClient
 from irisdeal.vane.sources import Sources
@@ -90,6 +94,9 @@
         )
         self.front = HttpServer(self.serve, self.loop)
         self.readiness = HttpServer(self._ready, self.loop)
+        self.metrics = ProxyMetrics()
+        self.metrics_server = MetricsServer(settings, self.metrics, self.loop)
+        self.front.on_departed = lambda request: self.metrics.departures.add(request.phase.value)
         self.leaving = False
 
     # What a process does
@@ -99,6 +106,7 @@
         self.tasks.start(self.admission.report_intervals())
         await self.front.listen(address(self.settings.bind.front), sock=self.listening.get("front"))
         await self.readiness.listen(address(self.settings.bind.readiness), sock=self.listening.get("readiness"))
+        await self.metrics_server.start()
 
     async def stop(self) -> None:
         """Not ready at once; answer on; end when the last answer is out, or just before the grace is over."""
@@ -109,12 +117,23 @@
             await asyncio.sleep(0.05)
             if self.loop.time() - begun > LEAVE_QUIET and self.front.at_work == 0:
                 break
-        if self.front.at_work:
-            tell(407, requests=self.front.at_work)
+        self._tell_cut()
         self.sources.stop()
         self.tasks.cancel()
         self.front.close()
         self.readiness.close()
+        self.metrics_server.close()
+
+    def _tell_cut(self) -> None:
+        """What has no answer, or not all of it, as the process ends."""
+        owed, unsent = self.front.owed(), self.front.unsent_bytes()
+        for request in owed:
+            self.metrics.cut.add(request.phase.value)
+        if unsent:
+            self.metrics.unsent.add(amount=unsent)
+        if owed or unsent:
+            phases = Counter(request.phase.value for request in owed)
+            tell(407, requests=len(owed), unsent_bytes=unsent, **phases)
 
     def reload(self, settings: Settings) -> None:
         self.settings = settings
@@ -186,10 +205,17 @@
     # A request
 
     async def serve(self, request: Request) -> Answer:
+        if self.leaving:
+            self.metrics.drained.add("taken")
         try:
-            return await self._carry(request)
+            answer = await self._carry(request)
         except Refused as refused:
-            return refused.answer()
+            answer = refused.answer()
+        if self.leaving:
+            self.metrics.drained.add("promised" if answer.status in (429, 503) else "answered")
+        if request.departed_at is not None:
+            self.metrics.work_after_departure.observe(self.loop.time() - request.departed_at)
+        return answer
 
     def _admitted(self, request: Request, table: Table) -> tuple[Route, str]:
         """Its route and tenant; Refused where the operator's word does not allow it."""
@@ -243,16 +269,17 @@
             return await self._attempts(request, route, tenant, id_, until, route.priority, None)
         permit = self._ask(table, tenant, self._is_late(route, given))
         rank = table.tenants[tenant].priority * RANKS + route.priority
-        await self._enter(tenant, rank, route, until)
+        await self._enter(request, tenant, rank, route, until)
         try:
             return await self._attempts(request, route, tenant, id_, until, rank, permit)
         finally:
             for token in self.gate.leave(tenant, self.loop.time()):
                 self._go(token)
 
-    async def _enter(self, tenant: str, rank: int, route: Route, until: float) -> None:
+    async def _enter(self, request: Request, tenant: str, rank: int, route: Route, until: float) -> None:
         """Wait for a place within the tenant's bound; Refused when time runs short."""
         now = self.loop.time()
+        request.phase = Phase.TENANT_QUEUE
         token: asyncio.Future[None] = self.loop.create_future()
         entered = self.gate.enter(tenant, rank, token, now)
         if entered is None:
@@ -300,11 +327,14 @@
                 is_again = sent + len(running) > 0
                 hold = 0.0 if running else max(LEAST_HOLD_S, most)
                 needs = AttemptNeeds(service, tried, usual, rank, hold, until, permit, route.mutating, is_again)
+                if not running:
+                    request.phase = Phase.PLACEMENT
                 placed = await self.placer.place(needs)
                 if placed is not None:
                     tried.add(placed.backend.id)
                     attempt = self._one(request, route, tenant, id_, until, placed, usual, permit)
                     running.add(self.tasks.start(attempt))
+                    request.phase = Phase.BACKEND
             if not running:
                 break
             may_double = not route.mutating and len(running) == 1 and sent + 1 < route.max_tries
--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,76 @@
+"""A process's own figures: what the settings may say, and the text that is told."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from prometheus_client.parser import text_string_to_metric_families
+
+from irisdeal.almanac.metrics import StoreMetrics
+from irisdeal.gauge.metrics import RegistryMetrics
+from irisdeal.http1.metrics_server import MetricsServer
+from irisdeal.http1.server import Answer, Request
+from irisdeal.mast.metrics import Metrics, MetricsAddress, parse_address
+from irisdeal.mast.settings import Settings, read
+from irisdeal.vane.metrics import ProxyMetrics
+
+GIVEN = {"node_name": "n", "role": "r", "ip": "10.0.0.1", "zone": "z", "port_range": [7000, 7010], "seed_peers": []}
+
+
+def samples(text: bytes) -> dict[tuple[str, str], float]:
+    """By name and the values of the labels."""
+    return {
+        (sample.name, ",".join(sample.labels.values())): sample.value
+        for family in text_string_to_metric_families(text.decode())
+        for sample in family.samples
+    }
+
+
+@pytest.mark.parametrize("text", ["", "9100/metrics", "9100/"])
+def test_settings_name_a_port_and_a_path(text: str) -> None:
+    assert read({**GIVEN, "metrics": text}).unwrap().metrics == text
+
+
+@pytest.mark.parametrize("text", ["metrics", "9100", "0/metrics", "70000/metrics", "-1/m", "x/metrics"])
+def test_another_text_is_refused_and_named(text: str) -> None:
+    assert "metrics: wanted PORT/PATH" in str(read({**GIVEN, "metrics": text}).failure())
+
+
+def test_an_address_has_its_path_whole() -> None:
+    assert parse_address("9100/own/figures") == MetricsAddress(9100, "/own/figures")
+
+
+@pytest.mark.parametrize(
+    "made", [ProxyMetrics(), RegistryMetrics(), StoreMetrics()], ids=["proxy", "registry", "store"])
+def test_what_was_counted_is_told_and_what_was_not_stands_at_nought(made: Metrics) -> None:
+    for counter in made.counters:
+        counter.add("some" if counter.label else "", 2)
+    for summary in made.summaries:
+        summary.observe(0.25)
+        summary.observe(0.5)
+    told = samples(made.text())
+    for counter in made.counters:
+        assert told[f"irisdeal_{counter.name}_total", "some" if counter.label else ""] == 2
+    for summary in made.summaries:
+        assert told[f"irisdeal_{summary.name}_count", ""] == 2
+        assert told[f"irisdeal_{summary.name}_sum", ""] == 0.75
+        assert told[f"irisdeal_{summary.name}_max", ""] == 0.5
+    fresh = type(made)()
+    without = [counter for counter in fresh.counters if not counter.label]
+    assert all(samples(fresh.text())[f"irisdeal_{counter.name}_total", ""] == 0 for counter in without)
+
+
+@pytest.mark.parametrize(("method", "target", "status"), [
+    (b"GET", b"/metrics", 200), (b"GET", b"/metrics?x=1", 200), (b"GET", b"/", 404), (b"POST", b"/metrics", 405),
+])
+def test_the_page_is_there_and_no_other(method: bytes, target: bytes, status: int) -> None:
+    settings = Settings("n", "r", "10.0.0.1", "z", (7000, 7010), (), metrics="9100/metrics")
+
+    async def ask() -> Answer:
+        server = MetricsServer(settings, ProxyMetrics(), asyncio.get_running_loop())
+        return await server._answer(Request(method, target, [], b"", 0.0))
+
+    answer = asyncio.run(ask())
+    assert answer.status == status
+    assert (status == 200) == answer.body.startswith(b"# HELP irisdeal_")
