--- a/tests/core_rig.py
+++ b/tests/core_rig.py
@@ -90,6 +90,7 @@
         self.server = Server(self.handle)
         self.puts: list[int] = []
         self.outcome = 1
+        self.put_s = 0.0  # that an order takes
 
     async def run(self) -> int:
         await self.server.listen((self.ip, places.port(self.settings, places.ALMANAC)))
@@ -131,6 +132,8 @@
                 return await self.watch(Have.hear(body[0]), body[1])
             case "put":
                 self.puts.append(body[0])
+                if self.put_s:
+                    await asyncio.sleep(self.put_s)
                 return self.outcome if self.has_contact() else 0
             case "read":
                 return [self.has_contact(), self.word.body]
--- /dev/null
+++ b/tests/test_registry_drain.py
@@ -0,0 +1,113 @@
+"""SIGTERM to a registry: orders, drains and deregistrations that it has read are answered before it ends."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+from functools import partial
+from typing import Any
+
+import pytest
+
+from irisdeal.gauge.station import Station
+from irisdeal.sim.machine import Core, Costs, Machine
+from tests.test_station import StationRig, beat
+
+ORDER = b'{"generation": "r9", "sockets": [], "pools": []}'
+
+
+class Caller(asyncio.Protocol):
+    """One call over a connection of its own."""
+
+    def __init__(self) -> None:
+        self.heard, self.is_over = b"", False
+
+    def data_received(self, data: bytes) -> None:
+        self.heard += data
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.is_over = True
+
+    def status(self) -> int:
+        """Of its whole answer; 0 for none."""
+        head, end, _ = self.heard.partition(b"\r\n\r\n")
+        return int(head.split()[1]) if end else 0
+
+
+class DrainRig(StationRig):
+    """Registries that end as their processes do, and callers over the network."""
+
+    def __init__(self, count: int, seed: int = 1) -> None:
+        self.ending: dict[str, asyncio.Event] = {}
+        self.callers: list[Caller] = []
+        self.caller: Machine | None = None
+        super().__init__(count, seed)
+
+    def start_post(self, host: str) -> Machine:
+        async def run() -> int:
+            station = self.stations[host] = Station(self.settings(host))
+            self.ending[host] = asyncio.Event()
+            await station.start()
+            await self.ending[host].wait()
+            await station.stop()
+            return 0
+
+        def make() -> Coroutine[Any, Any, int]:
+            return run()
+
+        return self.process(host, make)
+
+    def call(self, host: str, method: str, target: str, body: bytes) -> None:
+        """Over a connection of its own, now."""
+        if self.caller is None:
+            self.caller = Machine(self.world, self.net, "caller", Core(), Costs())
+        loop, caller = self.caller, Caller()
+        self.callers.append(caller)
+
+        async def run() -> None:
+            try:
+                transport, _ = await loop.create_connection(lambda: caller, host, 8000)
+            except OSError:
+                caller.is_over = True
+                return
+            head = f"{method} {target} HTTP/1.1\r\nHost: h\r\nContent-Length: {len(body)}\r\n\r\n"
+            transport.write(head.encode() + body)
+
+        loop.call_soon(lambda: loop.create_task(run()))
+
+    def terminate(self, host: str) -> None:
+        """SIGTERM to the registry."""
+        self.machines[host][-1].call_soon(self.ending[host].set)
+
+
+@pytest.mark.parametrize("after_s", [0.0, 0.05, 0.3, 0.5])
+def test_orders_that_a_registry_has_read_are_answered_before_it_ends(after_s: float) -> None:
+    rig = DrainRig(3)
+    host = rig.hosts[0]
+
+    def slow_down() -> None:
+        for store in rig.stores.values():
+            store.put_s = 0.7
+
+    rig.at(3.0, slow_down)
+    for number in range(3):
+        rig.at(4.0 + 0.01 * number, partial(rig.call, host, "POST", "/config/replace", ORDER))
+    rig.at(4.05 + after_s, partial(rig.terminate, host))
+    rig.play(12.0)
+    assert [caller.status() for caller in rig.callers] == [200, 200, 200]
+    assert rig.machines[host][-1].dead, "it ends"
+
+
+@pytest.mark.parametrize("after_s", [0.0, 0.001, 0.002, 0.1])
+def test_drains_and_deregistrations_are_answered_amid_the_end_of_a_registry(after_s: float) -> None:
+    rig = DrainRig(3)
+    host, other, _ = rig.hosts
+    rig.call(host, "POST", "/backends/i-1/heartbeat", beat())
+    rig.call(host, "POST", "/backends/i-2/heartbeat", beat())
+    rig.at(3.0, partial(rig.cut, other))  # one is not heard: a majority takes the other's answer
+    rig.at(4.0, partial(rig.call, host, "POST", "/backends/i-1/heartbeat", beat("draining", 2)))
+    rig.at(4.0, partial(rig.call, host, "POST", "/backends/i-2/deregister", b""))
+    rig.at(4.002 + after_s, partial(rig.terminate, host))
+    rig.play(12.0)
+    assert [caller.status() for caller in rig.callers[2:]] == [200, 200]
+    assert rig.machines[host][-1].dead
