--- a/benchmarks/capacity/tally.py
+++ b/benchmarks/capacity/tally.py
@@ -19,7 +19,7 @@
 from typing import Any
 
 from irisdeal.mast.process import main
-from irisdeal.telegraph import frames, link
+from irisdeal.telegraph import frames, link, server
 
 Counts = dict[str, list[int]]
 
@@ -63,7 +63,7 @@
             tally.add(f"out {item[1]}" if isinstance(item[1], str) else f"answer {tally.answering}", len(data))
             return data
 
-        original: Any = link._Answers._write
+        original: Any = server._Answers._write
 
         def write(answers: Any, *told: Any) -> None:
             number = told[0][0] if isinstance(told[0], list) else told[0]
@@ -73,7 +73,8 @@
         names: dict[str, Any] = {"Reader": Reader, "encode": encode}
         for name, value in names.items():
             setattr(link, name, value)
-        link._Answers._write = write  # type: ignore[method-assign, assignment]
+            setattr(server, name, value)
+        server._Answers._write = write  # type: ignore[method-assign, assignment]
 
 
 def report(tally: Tally) -> None:
--- a/benchmarks/departures.py
+++ b/benchmarks/departures.py
@@ -30,6 +30,7 @@
 GRACE_S = 6.0  # from SIGTERM to SIGKILL
 UP_BY_S = 15.0  # for a gateway to serve its first request
 PATIENCE_S = 9.0  # that a client waits for an answer
+READING_S = 5.0  # that a slow reader takes for its answer
 BEAT_S = 0.4  # between two heartbeats of the backend
 SETTINGS = """
 node_name = "{name}"
@@ -402,14 +403,15 @@
         loop = asyncio.get_running_loop()
         await loop.sock_connect(sock, (PROXY, FRONT))
         await loop.sock_sendall(sock, request(f"slow-{number}", 10, answer_bytes=size))
-        had = 0
+        had, begun = 0, loop.time()
         with contextlib.suppress(OSError):
             while had < size:
                 data = await loop.sock_recv(sock, size // 100)
                 if not data:
                     break
                 had += len(data)
-                await asyncio.sleep(0.05)
+                behind = had / size * READING_S - (loop.time() - begun)
+                await asyncio.sleep(max(0.0, behind))
         sock.close()
         return had >= size
 
--- a/irisdeal/almanac/member.py
+++ b/irisdeal/almanac/member.py
@@ -28,12 +28,13 @@
 from irisdeal.mast.events import tell
 from irisdeal.mast.process import Tasks
 from irisdeal.mast.settings import Settings
-from irisdeal.telegraph.link import Server
+from irisdeal.telegraph.server import Server
 
 PUT = 0.85  # s for an order: the operator goes elsewhere after a second of silence
 READ = 0.85  # s, likewise
 HOLD = 1.0  # s that a watch may be held without news
 PARTING = 0.15  # s in which all hear that we leave
+END_S = 0.4  # s of the grace that are kept for the process's own end
 HANDOVER = 1.5  # s at most that we wait until others hold what we hold, well inside any time to end
 
 
@@ -70,14 +71,18 @@
         await self.metrics_server.start()
 
     async def stop(self) -> None:
+        """End in order: hand over what is held, answer what is at work."""
+        begun = now()
         self.rounds.tell_leaving()
-        until = now() + HANDOVER
         await asyncio.sleep(PARTING)
-        while not self._may_go() and now() < until:
+        while not self._may_go() and now() < begun + HANDOVER:
             await asyncio.sleep(PARTING)
         tell(227 if self._may_go() else 228, seat=self.acceptor.seat)
+        cut = await self.server.drain(begun + self.settings.bound("grace_s", 6.0) - END_S)
+        if cut:
+            self.metrics.cut_calls.add(amount=cut)
+            tell(230, calls=cut)
         self.tasks.cancel()
-        self.server.close()
         self.metrics_server.close()
         self.peers.close()
 
--- a/irisdeal/gauge/placement_service.py
+++ b/irisdeal/gauge/placement_service.py
@@ -64,12 +64,22 @@
                     await token
             except TimeoutError:
                 self.placer.wait_no_more(request.service, token)
+            except asyncio.CancelledError:  # who asked has gone
+                self._give_up(request.service, token)
+                raise
             now = self.loop.time()
             is_last = now >= until
             placed = self.place(peer, request, is_last, now - begun)
             if placed is not None or is_last:
                 return placed or NO_PLACE
 
+    def _give_up(self, service: str, token: asyncio.Future[None]) -> None:
+        """It waits no more; had its turn come already, it is the next one's."""
+        if token.done() and not token.cancelled():
+            self._wake(service)
+        else:
+            self.placer.wait_no_more(service, token)
+
     def ended(self, peer: str, end: PlaceEnd) -> None:
         """The end of an attempt that had a place."""
         service = self.placer.ended(peer, end.number, How(end.how), end.ratio, self.loop.time())
--- a/irisdeal/gauge/station.py
+++ b/irisdeal/gauge/station.py
@@ -24,7 +24,8 @@
 from irisdeal.gauge.store import AGAIN, Follower
 from irisdeal.gauge.metrics import RegistryMetrics
 from irisdeal.http1.metrics_server import MetricsServer
-from irisdeal.http1.server import Answer, HttpServer, Request
+from irisdeal.http1.messages import Answer, Request
+from irisdeal.http1.server import HttpServer
 from irisdeal.placement.load_reports import TELL
 from irisdeal.mast import places
 from irisdeal.mast.events import tell
@@ -33,7 +34,8 @@
 from irisdeal.permits.authority import IssuerList
 from irisdeal.permits.messages import LendRequest
 from irisdeal.ratelimit.interval_counter import encode_usages
-from irisdeal.telegraph.link import Link, Server
+from irisdeal.telegraph.link import Link
+from irisdeal.telegraph.server import Server
 
 FLUSH = 0.2  # s between two tellings of beats and sums to the other registries
 ANSWER = 0.4  # s for a short answer of another process
@@ -41,6 +43,9 @@
 LEARN = 2.5  # s that a registry which starts or was away asks the others for lives before it goes on without
 LEARN_PAUSE = 0.25  # s between two such asks
 OWN_PAUSE = 1.0  # s between two looks: so late, we were not there to hear beats
+QUIET_S = 0.1  # s that a registry which ends goes on accepting: callers go to another once it does not
+END_S = 0.4  # s of the grace that are kept for the process's own end
+TAKEN_LEAVING = frozenset({"told", "all", "ended"})  # calls that are answered to the end: what others rely on
 JSON = [(b"Content-Type", b"application/json")]
 
 
@@ -87,21 +92,18 @@
         await self.metrics_server.start()
 
     async def stop(self) -> None:
-        self.http.leaving = True
-        await asyncio.sleep(0.1)
-        self._tell_cut()
+        """End in order: proxies go to other registries at once, what was read from outside is answered."""
+        now = self.loop.time()
+        ends_at = now + self.settings.bound("grace_s", 6.0) - END_S
+        self.server.begin_drain(TAKEN_LEAVING)
+        unanswered = await self.http.drain(now + QUIET_S, ends_at)
+        cut = await self.server.drain(ends_at)
+        if unanswered.requests or unanswered.unsent_bytes or cut:
+            self.metrics.cut_calls.add(amount=len(unanswered.requests))
+            tell(323, calls=len(unanswered.requests), unsent_bytes=unanswered.unsent_bytes, internal=cut)
         self.follower.stop()
         self.tasks.cancel()
-        self.http.close()
         self.metrics_server.close()
-        self.server.close()
-
-    def _tell_cut(self) -> None:
-        """What has no answer, or not all of it, as the process ends."""
-        owed, unsent = self.http.owed(), self.http.unsent_bytes()
-        if owed or unsent:
-            self.metrics.cut_calls.add(amount=len(owed))
-            tell(323, calls=len(owed), unsent_bytes=unsent)
 
     def reload(self, settings: Settings) -> None:
         self.settings = settings
@@ -293,10 +295,8 @@
                 return await self._beat(command)
             case Leave():
                 return await self._leave(command)
-            case Put():
-                answer = await self._put(command)
-                self.metrics.orders.add(str(answer.status))
-                return answer
+            case Put():  # goes to its end, whoever waits: what became of an order is known then
+                return await asyncio.shield(self.tasks.start(self._put(command)))
             case Read():
                 known, body = await self.follower.read()
                 if not known:
@@ -344,6 +344,11 @@
         }
 
     async def _put(self, command: Put) -> Answer:
+        answer = await self._ordered(command)
+        self.metrics.orders.add(str(answer.status))
+        return answer
+
+    async def _ordered(self, command: Put) -> Answer:
         match await self.follower.put(command.word):
             case Outcome.CONFIRMED:
                 return Answer(200, b"{}", JSON)
--- a/irisdeal/http1/framing.py
+++ b/irisdeal/http1/framing.py
@@ -6,9 +6,19 @@
 
 OWS = b" \t"  # round a field's value, and no part of it (RFC 9110, 5.5)
 # Fields that speak of one connection (RFC 9110, 7.6.1), or that are written anew.
-HOP = frozenset((
-    b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
-    b"content-length", b"expect"))
+HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    )
+)
 FRAMING = (b"content-length", b"transfer-encoding")
 REASONS = {status.value: status.phrase.encode() for status in http.HTTPStatus}
 
--- a/irisdeal/http1/metrics_server.py
+++ b/irisdeal/http1/metrics_server.py
@@ -4,7 +4,8 @@
 
 import asyncio
 
-from irisdeal.http1.server import Answer, HttpServer, Request
+from irisdeal.http1.messages import Answer, Request
+from irisdeal.http1.server import HttpServer
 from irisdeal.mast.metrics import CONTENT_TYPE, Metrics, parse_address
 from irisdeal.mast.settings import Settings
 
--- a/irisdeal/load_balancing/backend_choice.py
+++ b/irisdeal/load_balancing/backend_choice.py
@@ -17,6 +17,7 @@
 PACE_WEIGHT = 0.2  # of the newest answer in a backend's pace
 USUAL_WEIGHT = 0.05  # of the newest answer in what a kind usually takes
 FIRST_USUAL = 0.15  # s
+LONGEST_KEPT = 0.995  # of the longest time of late, with each answer: half of it after 140
 CROSSING = 0.3  # of a request's usual time, that another zone must be quicker by
 CONNECTING = 0.15  # likewise a new connection: it is dear, and takes its time
 REGION = 2.0  # likewise another region
@@ -58,9 +59,12 @@
 
     time: float = FIRST_USUAL
     seen: int = 0
+    longest: float = 0.0  # of late, as it came to clients: queues at the backend counted
 
-    def took(self, seconds: float) -> None:
+    def took(self, seconds: float, in_all: float) -> None:
+        """An answer came. `seconds`: less what was there already; `in_all`: as it was."""
         self.seen += 1
+        self.longest = max(in_all, LONGEST_KEPT * self.longest)
         self.time += max(USUAL_WEIGHT, 1 / self.seen) * (seconds - self.time)
 
 
@@ -124,9 +128,9 @@
 
     def answered(self, backend: Backend, usual: Usual, seconds: float, crowd: float, now: float) -> None:
         """A whole answer after so long, where it was `crowd` times its work by what was there."""
-        seconds /= crowd
-        self.paced(backend, seconds / max(0.001, usual.time), now)
-        usual.took(seconds)
+        alone = seconds / crowd
+        self.paced(backend, alone / max(0.001, usual.time), now)
+        usual.took(alone, seconds)
 
     def paced(self, backend: Backend, ratio: float, now: float, weight: float = PACE_WEIGHT) -> None:
         """A whole answer that took `ratio` times what such requests usually take where nothing else is."""
@@ -135,6 +139,19 @@
         backend.answers += 1
         backend.failures, backend.heard = 0, now
 
+    def abandoned(
+        self, backend: Backend, begun: float, ratio: float, now: float, weight: float = PACE_WEIGHT
+    ) -> None:
+        """An attempt was given up after `ratio` times the usual: its answer takes that long at least.
+
+        Where nothing has come from this backend since it was sent, for as long as is suspect, it counts as failed.
+        """
+        if ratio > backend.pace:
+            backend.pace += weight * (min(MOST_PACE, ratio) - backend.pace)
+        is_quiet = backend.heard < begun and now - begun > LEAST_SUSPICION
+        if is_quiet and ratio > SUSPICION * max(1.0, backend.pace):
+            self.failed(backend, now)
+
     def failed(self, backend: Backend, now: float) -> float:
         """No answer, or none that can be used: left out for so many s."""
         rest = REST[min(backend.failures, len(REST) - 1)]
--- a/irisdeal/mast/process.py
+++ b/irisdeal/mast/process.py
@@ -9,13 +9,15 @@
 import signal
 import sys
 from collections.abc import Awaitable, Callable, Coroutine
-from typing import Any, Protocol
+from typing import Any, Protocol, TypeVar
 
 from returns.result import Failure
 
 from irisdeal.mast.events import tell
 from irisdeal.mast.settings import Settings, load
 
+T = TypeVar("T")
+
 
 class Program(Protocol):
     """What a process runs. `stop` returns when all is answered; the process ends then."""
@@ -33,7 +35,8 @@
     def __init__(self) -> None:
         self.running: set[asyncio.Task[Any]] = set()
 
-    def start(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+    def start(self, work: Coroutine[Any, Any, T]) -> asyncio.Task[T]:
+        """Run this in a task of its own; a failure is told as event 105."""
         task = asyncio.ensure_future(work)
         self.running.add(task)
         task.add_done_callback(self._ended)
--- a/irisdeal/placement/attempt_end.py
+++ b/irisdeal/placement/attempt_end.py
@@ -13,4 +13,5 @@
     FULL = 2  # turned away: its queue is full
     ENDED = 3  # another life stands there
     FAILED = 4  # broken off, refused, no answer in the protocol
-    UNKNOWN = 5  # its time was over, nobody waited, or it was never used
+    UNKNOWN = 5  # its time was over, or it was never used
+    ABANDONED = 6  # given up without an answer: another was quicker, or its client has left
--- a/irisdeal/placement/placer.py
+++ b/irisdeal/placement/placer.py
@@ -176,7 +176,7 @@
         backend, wind = place.backend, self.wind
         wind.ended(backend, place.begun)
         bad = how in (How.FAILED, How.POOR)
-        if how is not How.UNKNOWN:
+        if how not in (How.UNKNOWN, How.ABANDONED):
             share = self.failing.get(name, 0.0)
             self.failing[name] = share + DOOR_WEIGHT * ((how is How.FAILED) - share)
             if how in (How.GOOD, How.POOR, How.FAILED) and self.failing[name] < ILL_DOOR:
@@ -192,6 +192,8 @@
                 self.retire(backend.id)
             case How.FAILED if self.failing[name] < ILL_DOOR:
                 wind.failed(backend, now)
+            case How.ABANDONED if self.failing.get(name, 0.0) < ILL_DOOR:
+                wind.abandoned(backend, place.begun, ratio / place.crowd, now, PACE_WEIGHT)
         return backend.service
 
     def _freed(self, door: str, number: int) -> None:
--- a/irisdeal/sim/net.py
+++ b/irisdeal/sim/net.py
@@ -247,6 +247,8 @@
 
     def write_eof(self) -> None:
         if not (self._eof or self._closing):
+            if self._socket.reset:  # as shutdown(2) on a connection that the other side has reset
+                raise OSError(107, "Transport endpoint is not connected")
             self._eof = True
             self.pump()
 
--- a/irisdeal/telegraph/calls.py
+++ b/irisdeal/telegraph/calls.py
@@ -34,72 +34,232 @@
     reset: str  # what is known after a reset once the first byte was sent
     silence: str  # what whoever asked does after its time
     word: bool = False
+    ends_with_asker: bool = False  # cancelled where who asked has given it up, or its connection has ended
 
 
+CANCEL = "cancel"  # the word of a link itself that gives up a call; its body is the call's number
+
 NUMBER = "number of the call, connection"  # what each answer between our processes is matched by
 
+ENDS = "; the work ends with who asked"
+
 _NOTHING = "nothing: it is asked anew"
 _ANEW = "asks the next one, from what it has"
 
-CALLS = {call.kind: call for call in (
-    # Between stores
-    Call("state", "almanac", "almanac", Again.ANYONE, "the seat in the report", _NOTHING, "asks again next round"),
-    Call("prepare", "almanac", "almanac", Again.ASKER, "the ballot", "the promise may stand",
-         "goes on with those that answered, else a higher ballot"),
-    Call("accept", "almanac", "almanac", Again.ASKER, "the ballot, with its one value", "it may be accepted",
-         "goes on with those that answered, else a higher ballot"),
-    Call("bring", "almanac", "almanac", Again.ANYONE, "number and digest of the body", "it may be held",
-         "brings it again with the next round"),
-    Call("fetch", "almanac", "almanac", Again.ANYONE, "number and digest of the body", _NOTHING,
-         "asks the next one that has it"),
-    Call("decided", "almanac", "almanac", Again.ANYONE, "the ballot, with its one value", _NOTHING,
-         "the next `state` tells it", word=True),
-    # The registry at the store
-    Call("watch", "gauge", "almanac", Again.ANYONE, "what the asker has", _NOTHING, _ANEW),
-    Call("put", "gauge", "almanac", Again.ASKER, "number and digest of the body", "it may be decided",
-         "503: the operator sends it again"),
-    Call("read", "gauge", "almanac", Again.ANYONE, "-", _NOTHING, "503: the operator asks again"),
-    # Doors at registries
-    Call("news", "vane", "gauge", Again.ANYONE, "what the door has, and the registry's life", _NOTHING, _ANEW),
-    Call("lives", "vane", "gauge", Again.ANYONE, "each life's id, state and count", "they may be known",
-         "nothing: another source has them, and beats come"),
-    Call("count", "vane", "gauge", Again.ANYONE,
-         "the door and the interval's number; of what it holds, a number that rises",
-         "it may be counted, and permits may be granted that come nowhere",
-         "tells the next one: counted twice in one total at most"),
-    Call("place", "vane", "gauge", Again.NEVER, "-",
-         "a permit, a repeat and a place may be taken: the place is free once its connection ends",
-         "asks another or goes by its own view; the place of a late answer is told as ended"),
-    Call("wait", "vane", "gauge", Again.NEVER, "-", "a place may be taken: free once its connection ends",
-         "chooses by itself; the place of a late answer is told as ended"),
-    Call("ended", "vane", "gauge", Again.ANYONE, "the place's number, which begins elsewhere in each life",
-         "the place may count until its time is over", "-", word=True),
-    # Between registries
-    Call("told", "gauge", "gauge", Again.ANYONE, "each life's id, state and count", "they may be known",
-         "tells it again with the next beat; an end is not acknowledged"),
-    Call("all", "gauge", "gauge", Again.ANYONE, "-", _NOTHING, "asks again 0.5 s later"),
-    Call("sums", "gauge", "gauge", Again.ANYONE, "the registry and the interval's number", "it may be heard",
-         "the next one counts", word=True),
-    Call("loads", "gauge", "gauge", Again.ANYONE, "the registry; the newest counts, for 1.5 s", "it may be heard",
-         "the next one counts", word=True),
-    Call("lend", "gauge", "gauge", Again.NEVER, "-", "permits may be gone there, and come nowhere",
-         "goes without: they are lost until they refill, and never doubled"),
-)}
+CALLS = {
+    call.kind: call
+    for call in (
+        # Between stores
+        Call(
+            "state", "almanac", "almanac", Again.ANYONE, "the seat in the report", _NOTHING, "asks again next round"
+        ),
+        Call(
+            "prepare",
+            "almanac",
+            "almanac",
+            Again.ASKER,
+            "the ballot",
+            "the promise may stand",
+            "goes on with those that answered, else a higher ballot",
+        ),
+        Call(
+            "accept",
+            "almanac",
+            "almanac",
+            Again.ASKER,
+            "the ballot, with its one value",
+            "it may be accepted",
+            "goes on with those that answered, else a higher ballot",
+        ),
+        Call(
+            "bring",
+            "almanac",
+            "almanac",
+            Again.ANYONE,
+            "number and digest of the body",
+            "it may be held",
+            "brings it again with the next round",
+        ),
+        Call(
+            "fetch",
+            "almanac",
+            "almanac",
+            Again.ANYONE,
+            "number and digest of the body",
+            _NOTHING,
+            "asks the next one that has it",
+        ),
+        Call(
+            "decided",
+            "almanac",
+            "almanac",
+            Again.ANYONE,
+            "the ballot, with its one value",
+            _NOTHING,
+            "the next `state` tells it",
+            word=True,
+        ),
+        # The registry at the store
+        Call(
+            "watch", "gauge", "almanac", Again.ANYONE, "what the asker has", _NOTHING, _ANEW, ends_with_asker=True
+        ),
+        Call(
+            "put",
+            "gauge",
+            "almanac",
+            Again.ASKER,
+            "number and digest of the body",
+            "it may be decided",
+            "503: the operator sends it again",
+        ),
+        Call("read", "gauge", "almanac", Again.ANYONE, "-", _NOTHING, "503: the operator asks again"),
+        # Doors at registries
+        Call(
+            "news",
+            "vane",
+            "gauge",
+            Again.ANYONE,
+            "what the door has, and the registry's life",
+            _NOTHING,
+            _ANEW,
+            ends_with_asker=True,
+        ),
+        Call(
+            "lives",
+            "vane",
+            "gauge",
+            Again.ANYONE,
+            "each life's id, state and count",
+            "they may be known",
+            "nothing: another source has them, and beats come",
+        ),
+        Call(
+            "count",
+            "vane",
+            "gauge",
+            Again.ANYONE,
+            "the door and the interval's number; of what it holds, a number that rises",
+            "it may be counted, and permits may be granted that come nowhere",
+            "tells the next one: counted twice in one total at most",
+        ),
+        Call(
+            "place",
+            "vane",
+            "gauge",
+            Again.NEVER,
+            "-",
+            "a permit, a repeat and a place may be taken: the place is free once its connection ends",
+            "asks another or goes by its own view; the place of a late answer is told as ended",
+        ),
+        Call(
+            "wait",
+            "vane",
+            "gauge",
+            Again.NEVER,
+            "-",
+            "a place may be taken: free once its connection ends",
+            "chooses by itself; the place of a late answer is told as ended",
+            ends_with_asker=True,
+        ),
+        Call(
+            "ended",
+            "vane",
+            "gauge",
+            Again.ANYONE,
+            "the place's number, which begins elsewhere in each life",
+            "the place may count until its time is over",
+            "-",
+            word=True,
+        ),
+        # Between registries
+        Call(
+            "told",
+            "gauge",
+            "gauge",
+            Again.ANYONE,
+            "each life's id, state and count",
+            "they may be known",
+            "tells it again with the next beat; an end is not acknowledged",
+        ),
+        Call("all", "gauge", "gauge", Again.ANYONE, "-", _NOTHING, "asks again 0.5 s later"),
+        Call(
+            "sums",
+            "gauge",
+            "gauge",
+            Again.ANYONE,
+            "the registry and the interval's number",
+            "it may be heard",
+            "the next one counts",
+            word=True,
+        ),
+        Call(
+            "loads",
+            "gauge",
+            "gauge",
+            Again.ANYONE,
+            "the registry; the newest counts, for 1.5 s",
+            "it may be heard",
+            "the next one counts",
+            word=True,
+        ),
+        Call(
+            "lend",
+            "gauge",
+            "gauge",
+            Again.NEVER,
+            "-",
+            "permits may be gone there, and come nowhere",
+            "goes without: they are lost until they refill, and never doubled",
+        ),
+    )
+}
 
 OUTSIDE = (
-    Call("a request", "client", "vane", Again.UNRUN, "X-Irisdeal-Attempt-Id, one for each try",
-         "the client's own rules: the door answers one connection's requests in their order",
-         "the client's; a client that has left gets no further attempt"),
-    Call("an attempt", "vane", "backend", Again.UNRUN,
-         "X-Irisdeal-Attempt-Id, with X-Irisdeal-Target-Backend the life",
-         "it may have run: sent again only where the route is idempotent, and never promised",
-         "likewise; the connection is done with, so a late answer meets nobody"),
-    Call("POST heartbeat", "backend", "gauge", Again.ANYONE, "the life's id and `call_count`",
-         "it may be known", "the backend calls the next door"),
-    Call("POST deregister", "backend", "gauge", Again.ANYONE, "the life's id", "it may be known",
-         "the backend calls the next door"),
-    Call("POST /config/replace", "operator", "gauge", Again.ASKER, "the version and the body's digest",
-         "it may be decided", "the operator sends it again, to any door"),
+    Call(
+        "a request",
+        "client",
+        "vane",
+        Again.UNRUN,
+        "X-Irisdeal-Attempt-Id, one for each try",
+        "the client's own rules: the door answers one connection's requests in their order",
+        "the client's; all work for a client that has left ends, but an attempt that runs once and may have begun",
+    ),
+    Call(
+        "an attempt",
+        "vane",
+        "backend",
+        Again.UNRUN,
+        "X-Irisdeal-Attempt-Id, with X-Irisdeal-Target-Backend the life",
+        "it may have run: sent again only where the route is idempotent, and never promised",
+        "likewise; the connection is done with, so a late answer meets nobody",
+    ),
+    Call(
+        "POST heartbeat",
+        "backend",
+        "gauge",
+        Again.ANYONE,
+        "the life's id and `call_count`",
+        "it may be known",
+        "the backend calls the next door",
+    ),
+    Call(
+        "POST deregister",
+        "backend",
+        "gauge",
+        Again.ANYONE,
+        "the life's id",
+        "it may be known",
+        "the backend calls the next door",
+    ),
+    Call(
+        "POST /config/replace",
+        "operator",
+        "gauge",
+        Again.ASKER,
+        "the version and the body's digest",
+        "it may be decided",
+        "the operator sends it again, to any door",
+    ),
     Call("GET /config/read", "operator", "gauge", Again.ANYONE, "-", _NOTHING, "the operator asks again"),
     Call("GET /status", "anyone", "gauge", Again.ANYONE, "-", _NOTHING, "-"),
     Call("GET /readiness", "platform", "vane", Again.ANYONE, "-", _NOTHING, "two misses, and the door is out"),
@@ -111,6 +271,12 @@
     return peer.partition("#")[0]
 
 
+def ends_with_asker(kind: str) -> bool:
+    """Whether a call of this kind is worked on for who asked alone, and is cancelled with it."""
+    call = CALLS.get(kind)
+    return call is not None and call.ends_with_asker
+
+
 def may_send(kind: str, is_word: bool) -> str | None:
     """Why this cannot be sent, None where it can."""
     call = CALLS.get(kind)
@@ -121,19 +287,32 @@
 
 def table(calls: Iterable[Call], matched: str) -> str:
     """These calls as a table of a page. `matched`: what an answer is matched by."""
-    heads = ("call", "from, to", "again by", "named by", "answer matched by", "a reset after the first byte",
-             "a silence")
+    heads = (
+        "call",
+        "from, to",
+        "again by",
+        "named by",
+        "answer matched by",
+        "a reset after the first byte",
+        "a silence",
+    )
     lines = [f"| {' | '.join(heads)} |", "| --- " * len(heads) + "|"]
-    lines += [f"| `{call.kind}`{', a word' if call.word else ''} | {call.asker}, {call.answerer} "
-              f"| {call.again.value} | {call.named} | {'no answer' if call.word else matched} "
-              f"| {call.reset} | {call.silence} |" for call in calls]
+    lines += [
+        f"| `{call.kind}`{', a word' if call.word else ''} | {call.asker}, {call.answerer} "
+        f"| {call.again.value} | {call.named} | {'no answer' if call.word else matched} "
+        f"| {call.reset} | {call.silence}{ENDS if call.ends_with_asker else ''} |"
+        for call in calls
+    ]
     return "\n".join(lines) + "\n"
 
 
 def page() -> str:
     """The tables in docs/design/control.md."""
-    return (table(CALLS.values(), NUMBER) + "\nFrom and to outside:\n\n"
-            + table(OUTSIDE, "order on its connection; to a backend its id as well"))
+    return (
+        table(CALLS.values(), NUMBER)
+        + "\nFrom and to outside:\n\n"
+        + table(OUTSIDE, "order on its connection; to a backend its id as well")
+    )
 
 
 if __name__ == "__main__":
--- a/irisdeal/telegraph/frames.py
+++ b/irisdeal/telegraph/frames.py
@@ -8,6 +8,8 @@
 
 import cbor2
 
+HELLO = 0  # the number of a connection's first item: who calls
+ONE_WAY = -1  # the number of a word that wants no answer
 HEAD = 4  # bytes of length, big-endian
 MOST_FRAME = 16 << 20  # bytes: several times the longest configuration there is
 
@@ -39,8 +41,8 @@
                 raise BadFrame(f"{length} bytes announced, most {MOST_FRAME}")
             if len(self.rest) < HEAD + length:
                 return
-            body = BytesIO(self.rest[HEAD:HEAD + length])
-            del self.rest[:HEAD + length]
+            body = BytesIO(self.rest[HEAD : HEAD + length])
+            del self.rest[: HEAD + length]
             try:
                 item = cbor2.load(body)
             except Exception as error:  # its decoder raises more kinds than its own
--- a/irisdeal/telegraph/link.py
+++ b/irisdeal/telegraph/link.py
@@ -9,47 +9,33 @@
 a late answer, one that comes twice or one to a call of an earlier life meets nobody; `on_late` hears of an answer
 that came after its time, since what it gave may have to be given back. An answer to what was never asked ends the
 connection: its other answers cannot be trusted either. A link sends each call once.
+
+A call whose asker is cancelled ends with it: the other side is told so where its work is for the asker alone, and
+an answer that had come by then is taken for one that came after its time.
 """
 
 from __future__ import annotations
 
 import asyncio
-import socket
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, cast
 
 from returns.result import Failure, Result, Success
 
 from irisdeal.mast.events import tell
-from irisdeal.mast.process import Tasks
 from irisdeal.mast.settings import Address
 from irisdeal.mast.trouble import Trouble
-from irisdeal.telegraph.calls import may_send, name_of
-from irisdeal.telegraph.frames import BadFrame, Reader, encode
+from irisdeal.telegraph.calls import CANCEL, ends_with_asker, may_send
+from irisdeal.telegraph.frames import HELLO, ONE_WAY, BadFrame, Reader, encode
+from irisdeal.telegraph.transport import tune
 
 CONNECT = 0.4  # s to come up: over a hundred times the delay within a region
-USER_TIMEOUT = 2000  # ms that written bytes may stay unacknowledged
-MOST_CALLS = 256  # calls of one connection at work at once; more are answered with an error
 MOST_LATE = 1024  # calls of one connection that were given up and may still be answered; then it is done with
 
-HELLO = 0  # the number of a connection's first item: who calls
-ONE_WAY = -1  # the number of a word that wants no answer
-
-Handler = Callable[[str, str, Any], Awaitable[Any]]  # peer, kind, body
-Quick = Callable[[str, str, Any], Any]  # likewise, answered at once; `LATER` where it cannot be
-LATER = object()
 OnLate = Callable[[str, Any], None]  # kind, the answer's body
 
 
-def tune(transport: asyncio.BaseTransport) -> None:
-    """No delay for small frames, and an end for what a dead machine does not acknowledge."""
-    sock = transport.get_extra_info("socket")
-    if sock is not None:
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT)
-
-
 @dataclass(slots=True)
 class _Asked:
     """A call that is out. `since`, `until`: s on the loop's clock."""
@@ -94,16 +80,13 @@
         if type(item) is not list or len(item) != 3 or type(item[0]) is not int or type(item[1]) is not bool:
             raise BadFrame("no answer")  # True is 1 and 1.0 is 1 to a dict: only whole numbers are numbers
         number, good, body = item
-        asked = self.asked.get(number)
-        if asked is not None and self.heard <= asked.until:
-            del self.asked[number]
-            if not asked.answer.done():
-                asked.answer.set_result(
-                    Success(body) if good else Failure(Trouble(asked.kind, self.peer, str(body))))
+        asked = self.asked.pop(number, None)
+        if asked is not None and self.heard <= asked.until and not asked.answer.done():
+            asked.answer.set_result(Success(body) if good else Failure(Trouble(asked.kind, self.peer, str(body))))
             return
-        if asked is not None:  # its time is over, though its timer has not been seen yet: we stood still
-            self.give_up(number)
-        kind = self.late.pop(number, None)
+        if asked is not None:  # its time is over, or its asker was cancelled, though that was not seen yet
+            self._fail(asked)
+        kind = asked.kind if asked is not None else self.late.pop(number, None)
         if kind is None:
             tell(510, peer=self.peer, call=number, last=self.number)
             return self.drop()
@@ -128,18 +111,25 @@
             self.give_up(number)
 
     def give_up(self, number: int) -> None:
-        """Nobody waits for it any more."""
+        """Nobody waits for it any more: who works on it is told, where that is of use."""
         asked = self.asked.pop(number, None)
         if asked is None:
             return
         self.late[number] = asked.kind
-        if not asked.answer.done():
-            asked.answer.set_result(Failure(Trouble(
-                asked.kind, self.peer, f"silent for {asked.until - asked.since:g} s")))
+        if ends_with_asker(asked.kind) and not self.hung and self.transport is not None:
+            self.transport.write(encode([ONE_WAY, CANCEL, number]))
+        self._fail(asked)
         if len(self.late) > MOST_LATE:
             self.drop()
         self._rest()
 
+    def _fail(self, asked: _Asked) -> None:
+        """It has no answer in its time."""
+        if not asked.answer.done():
+            asked.answer.set_result(
+                Failure(Trouble(asked.kind, self.peer, f"silent for {asked.until - asked.since:g} s"))
+            )
+
     def retire(self) -> None:
         """Another connection takes its place; it ends with the last call that is out on it."""
         self.retired = True
@@ -220,9 +210,13 @@
         timer = loop.call_at(until, calls.expire, number)
         try:
             return await answer
+        except asyncio.CancelledError:
+            calls.give_up(number)
+            if answer.done() and not answer.cancelled() and isinstance(answer.result(), Success):
+                self.on_late(kind, answer.result().unwrap())  # it came as its asker was cancelled
+            raise
         finally:
             timer.cancel()
-            calls.give_up(number)  # where whoever asked was cancelled
 
     def tell(self, kind: str, body: Any) -> bool:
         """A word that wants no answer; False where it is not likely to come there: no connection, or a hung one."""
@@ -239,128 +233,3 @@
             self.connecting.cancel()
         if self.calls is not None:
             self.calls.drop()
-
-
-class _Answers(asyncio.Protocol):
-    """The answering end of one connection. `peer`: who calls and over which one, as `vane 10.1.0.3#17`."""
-
-    def __init__(self, server: Server) -> None:
-        self.server, self.reader, self.peer, self.at_work, self.last = server, Reader(), "", 0, HELLO
-        self.transport: asyncio.Transport | None = None
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = cast(asyncio.Transport, transport)
-        tune(transport)
-        self.server.connections.add(self)
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self.transport = None
-        self.server.connections.discard(self)
-        self._lost()
-
-    def _lost(self) -> None:
-        if self.server.lost is not None and self.peer:
-            self.server.lost(self.peer)
-
-    def data_received(self, data: bytes) -> None:
-        try:
-            for item in self.reader.feed(data):
-                if self.transport is None:
-                    return
-                self._take(item)
-        except BadFrame as error:
-            tell(500, peer=self.peer, error=error)
-            if self.transport is not None:
-                self.transport.abort()
-
-    def _take(self, item: Any) -> None:
-        """One item. BadFrame where it is none, or not in its order: nothing behind it can be trusted."""
-        if type(item) is not list or len(item) != 3 or type(item[0]) is not int or type(item[1]) is not str:
-            raise BadFrame("no call")
-        number, kind, body = item
-        if number == HELLO:
-            if self.peer:
-                raise BadFrame("a second name")
-            self.peer = self.server.peer(str(body))
-            return
-        if not self.peer:
-            raise BadFrame("a call before a name")
-        is_word = number == ONE_WAY
-        if not is_word:
-            if number <= self.last:  # it came twice: what it takes would be taken twice
-                tell(511, peer=self.peer, kind=kind, call=number, last=self.last)
-                raise BadFrame("a call that was heard before")
-            self.last = number
-        if (why := may_send(kind, is_word)) is not None:
-            return self._write(number, False, why)
-        self._run(number, kind, body)
-
-    def _run(self, number: int, kind: str, body: Any) -> None:
-        if self.server.quick is not None:
-            try:
-                answer = self.server.quick(self.peer, kind, body)
-            except Exception as error:  # as of a handler: the caller must hear of it, and the others go on
-                tell(105, call=kind, peer=self.peer, error=repr(error))
-                return self._write(number, False, repr(error))
-            if answer is not LATER:
-                return self._write(number, True, answer)
-        if self.at_work >= MOST_CALLS:
-            return self._write(number, False, "too many calls at once")
-        self.at_work += 1
-        self.server.tasks.start(self._answer(number, kind, body))
-
-    async def _answer(self, number: int, kind: str, body: Any) -> None:
-        good, answer = False, cast(Any, "ended")
-        try:
-            good, answer = True, await self.server.handler(self.peer, kind, body)
-        except Exception as error:  # whatever it is, the caller must hear of it
-            tell(105, call=kind, peer=self.peer, error=repr(error))
-            answer = repr(error)
-        finally:
-            self.at_work -= 1
-        if self.transport is None:
-            self._lost()  # what it was given came after its end was heard
-        self._write(number, good, answer)
-
-    def _write(self, number: int, good: bool, answer: Any) -> None:
-        if self.transport is None or number == ONE_WAY:
-            return
-        try:
-            frame = encode([number, good, answer])
-        except ValueError as error:  # too long: silence would be taken for a dead machine
-            frame = encode([number, False, str(error)])
-        self.transport.write(frame)
-
-
-class Server:
-    """Answers the calls that come to an address. A handler that raises answers with the error.
-
-    `quick` is asked first, and `lost` hears of each connection that ended, by the name under which its calls came;
-    again, where a call that it had sent was answered only behind its end.
-    """
-
-    def __init__(
-        self, handler: Handler, quick: Quick | None = None, lost: Callable[[str], None] | None = None,
-    ) -> None:
-        self.handler, self.quick, self.lost, self.tasks = handler, quick, lost, Tasks()
-        self.connections: set[_Answers] = set()
-        self.listening: asyncio.Server | None = None
-        self.met = 0
-
-    def peer(self, name: str) -> str:
-        """A new connection's name: who calls, and a number that no other connection has."""
-        self.met += 1
-        return f"{name_of(name)}#{self.met}"
-
-    async def listen(self, address: Address) -> None:
-        loop = asyncio.get_running_loop()
-        self.listening = await loop.create_server(
-            lambda: _Answers(self), *address, backlog=256, reuse_address=True)
-
-    def close(self) -> None:
-        if self.listening is not None:
-            self.listening.close()
-        for connection in list(self.connections):
-            if connection.transport is not None:
-                connection.transport.abort()
-        self.tasks.cancel()
--- a/irisdeal/vane/admission.py
+++ b/irisdeal/vane/admission.py
@@ -29,6 +29,9 @@
 REPORTS_KEPT = 8  # intervals that our own reports are kept, to be read beside their totals
 TOTAL_KEPT_S = 2.0  # that a total says how much a tenant asks for
 FIRST_PROXIES = 8  # proxies there are, until a number is told
+LEAST_RETURNED_S = 0.02  # that a permit which was not used has to serve still, to be used by another request
+MOST_RETURNED = 64  # of one tenant
+FULL_AGAIN_S = 0.2  # after which a client comes back that found no room within its tenant's bound
 FIRST_REPORT_S = 0.1  # between two reports until the first answer
 
 
@@ -73,12 +76,12 @@
         loop: asyncio.AbstractEventLoop,
         chance: random.Random,
         slots: Callable[[], int],
-        release: Callable[[Hashable], None],
     ) -> None:
-        """`slots`: requests that all backends work on at once; `release`: called with each that waits no more."""
-        self.client, self.loop, self.chance, self.slots, self.release = client, loop, chance, slots, release
+        """`slots`: requests that all backends work on at once."""
+        self.client, self.loop, self.chance, self.slots = client, loop, chance, slots
         self.companions: dict[str, RateCompanion] = {}
         self.held = HeldPermits(secrets.randbits(48))
+        self.returned: dict[str, list[float]] = {}  # permits of requests that ended unsent: until when each serves
         self.gate = Gate()
         self.edge = Edge(loop.time())
         self.proxies, self.has_reported = FIRST_PROXIES, False
@@ -108,7 +111,56 @@
             companion = self.companions[tenant] = RateCompanion(tenant, limit)
         if not companion.ask(self.chance.random(), is_late):
             return None
-        return RequestPermit(companion, is_late)
+        return RequestPermit(companion, is_late, self._take_returned(tenant))
+
+    def _take_returned(self, tenant: str) -> float:
+        """A permit that another request of this tenant did not use: until when it serves."""
+        returned, now = self.returned.get(tenant), self.loop.time()
+        while returned:
+            send_by = returned.pop()
+            if not returned:
+                del self.returned[tenant]
+            if send_by - now >= LEAST_RETURNED_S:
+                return send_by
+        return float("-inf")
+
+    def end(self, permit: RequestPermit) -> None:
+        """Its request is over: a permit that is in hand still serves the tenant's next one."""
+        if permit.companion.limit.is_limited and permit.send_by - self.loop.time() >= LEAST_RETURNED_S:
+            returned = self.returned.setdefault(permit.tenant, [])
+            if len(returned) < MOST_RETURNED:
+                returned.append(permit.use())
+
+    async def enter(self, tenant: str, rank: int, until: float) -> None:
+        """Wait for a place within the tenant's bound until `until` (s on the loop's clock); Refused where there is
+        none by then. Cancelled, it is out of the queue."""
+        token: asyncio.Future[None] = self.loop.create_future()
+        entered = self.gate.enter(tenant, rank, token, self.loop.time())
+        if entered is None:
+            raise Refused(503, "too many wait", FULL_AGAIN_S)
+        if entered:
+            return
+        try:
+            async with asyncio.timeout_at(until):
+                await token
+        except TimeoutError:
+            if self.gate.give_up(tenant, token, self.loop.time()):
+                raise Refused(503, "no room in time", FULL_AGAIN_S) from None
+        except asyncio.CancelledError:
+            if not self.gate.give_up(tenant, token, self.loop.time()):
+                self.leave(tenant)  # it had been let in
+            raise
+
+    def leave(self, tenant: str) -> None:
+        """A request that had entered is over; the next goes on in its place."""
+        for token in self.gate.leave(tenant, self.loop.time()):
+            self._release(token)
+
+    @staticmethod
+    def _release(token: Hashable) -> None:
+        assert isinstance(token, asyncio.Future)
+        if not token.done():
+            token.set_result(None)
 
     def holds(self, permit: RequestPermit) -> bool:
         """Whether a permit of this tenant is held ahead."""
@@ -192,6 +244,6 @@
             self.proxies,
         )
         for token in released:
-            self.release(token)
+            self._release(token)
         for name, companion in self.companions.items():
             companion.hear_total(totals.get(name, Usage()))
--- a/irisdeal/vane/attempt_placement.py
+++ b/irisdeal/vane/attempt_placement.py
@@ -143,6 +143,11 @@
         permit.give(asked_at)
         return True
 
+    def give_back(self, placed: Placed) -> None:
+        """The place is not used."""
+        if placed.number:
+            self.registries.end_place(placed.source, PlaceEnd(placed.number, int(How.UNKNOWN)))
+
     def _checked(self, placement: Placement, needs: AttemptNeeds) -> Placed | None:
         """The backend of a registry's answer where it fits what we know, or our own choice in its place."""
         reply = placement.reply
--- /dev/null
+++ b/irisdeal/vane/attempts.py
@@ -0,0 +1,312 @@
+"""A request's attempts at backends, and what is answered in the end.
+
+One scope owns them: `RequestAttempts.run` ends with the first answer, with the deadline, or cancelled as the client
+leaves, and whatever of its attempts is at work by then ends with it. The one thing that goes on is an attempt of a
+request that may run once, from the moment at which a byte of it may have been sent: it is waited for to its end,
+and its answer is given, if there is anybody to read it.
+
+What keeps TWICE and REFUSED: an attempt is repeated only after `UNSENT` or `PROMISE`, or `LOST` where the route is
+idempotent; 429 and 503 are answered only where no attempt may have run.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from irisdeal.gauge.messages import PlaceEnd
+from irisdeal.http1.messages import Answer, Request
+from irisdeal.http1.phase import Phase
+from irisdeal.load_balancing.backend_choice import Usual, Wind
+from irisdeal.mast.events import invariant, tell
+from irisdeal.mast.process import Tasks
+from irisdeal.placement.attempt_end import How
+from irisdeal.vane import backend_message
+from irisdeal.vane.admission import RequestPermit
+from irisdeal.vane.attempt_placement import LEAST_HOLD_S, AttemptNeeds, AttemptPlacer, Placed
+from irisdeal.vane.backend_message import MARGIN_S, BackendRequest
+from irisdeal.vane.backends import End, Outcome, Pool
+from irisdeal.vane.drain_plan import DrainPlan
+from irisdeal.vane.metrics import ProxyMetrics
+from irisdeal.vane.refusal import Refused, leaving
+from irisdeal.vane.registry_client import RegistryClient
+from irisdeal.vane.table import Route
+
+LEAST_LEFT_S = 0.010  # of a request's time under which no attempt is begun
+PATIENCE, LEAST_PATIENCE_S = 3.0, 0.1  # times the usual, s: then a second backend is asked as well
+HOLD_SHARE = 0.22  # of the aim that a request waits past the bound; refused later, it would be dear and useless
+MOST_UNSENT = 4  # backends that could not be reached, then the request is given up
+AGAIN_S = 0.1  # after which a client whose request has not run may come back
+
+
+@dataclass(frozen=True, slots=True)
+class AdmittedRequest:
+    """A request that may run. `until`: s on the loop's clock, when it has a final answer."""
+
+    request: Request
+    attempt_id: bytes
+    route: Route
+    service: str
+    tenant: str
+    rank: int  # least first
+    until: float
+    usual: Usual
+    permit: RequestPermit | None
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptServices:
+    """What all requests of a proxy share."""
+
+    loop: asyncio.AbstractEventLoop
+    tasks: Tasks
+    pool: Pool
+    wind: Wind
+    placer: AttemptPlacer
+    registries: RegistryClient
+    metrics: ProxyMetrics
+    on_ended: Callable[[str], None]  # hears of a life at whose address another stands
+    drain: Callable[[], DrainPlan | None]  # of the process, once it was told to end
+
+
+class Attempt:
+    """One attempt at one backend, in a task of its own."""
+
+    def __init__(self, services: AttemptServices, admitted: AdmittedRequest, placed: Placed) -> None:
+        self.services, self.admitted, self.placed = services, admitted, placed
+        self.begun = services.loop.time()
+        permit, request = admitted.permit, admitted.request
+        self.sent = BackendRequest(
+            backend_message.encode(request, placed.backend, admitted.tenant, admitted.until - self.begun),
+            admitted.attempt_id,
+            request.bodiless,
+            admitted.route.mutating,
+            admitted.until - MARGIN_S,
+            permit.use() if permit is not None else float("inf"),
+        )
+        services.wind.sent(placed.backend, self.begun)
+        self.task = services.tasks.start(services.pool.send(placed.backend, self.sent))
+        self.task.add_done_callback(self._ended)
+
+    @property
+    def must_go_on(self) -> bool:
+        """Whether it may have begun what runs only once."""
+        return self.admitted.route.mutating and self.sent.is_sent and not self.task.done()
+
+    def abandon(self, reason: str) -> None:
+        """Nobody waits for it any more."""
+        if not self.task.done():
+            self.services.metrics.abandoned.add(reason)
+            self.task.cancel()
+
+    def _ended(self, task: asyncio.Task[Outcome]) -> None:
+        """Give back what it had, and learn from it."""
+        services, backend, usual = self.services, self.placed.backend, self.admitted.usual
+        now, how, outcome = services.loop.time(), How.ABANDONED, None
+        if not task.cancelled():
+            outcome = task.result() if task.exception() is None else Outcome(End.LOST, "a fault of our own")
+            how = reported_as(outcome)
+        ratio = (now - self.begun) / max(0.001, usual.time)
+        services.wind.ended(backend, self.begun)
+        if self.placed.number:
+            end = PlaceEnd(self.placed.number, int(how), round(ratio, 2))
+            services.registries.end_place(self.placed.source, end)
+        if self.admitted.permit is not None and self._has_not_run(outcome):
+            self.admitted.permit.give_back(self.sent.send_by)
+        self._learn(how, outcome, ratio, now)
+
+    def _has_not_run(self, outcome: Outcome | None) -> bool:
+        return not self.sent.is_sent if outcome is None else outcome.end in (End.UNSENT, End.PROMISE)
+
+    def _learn(self, how: How, outcome: Outcome | None, ratio: float, now: float) -> None:
+        wind, backend, usual = self.services.wind, self.placed.backend, self.admitted.usual
+        match how:
+            case How.GOOD:
+                wind.answered(backend, usual, now - self.begun, self.placed.crowd, now)
+            case How.FULL:
+                wind.full(backend, now, usual.time)
+            case How.ENDED:
+                self.services.on_ended(backend.id)
+            case How.ABANDONED if self.sent.is_sent:
+                wind.abandoned(backend, self.begun, ratio / self.placed.crowd, now)
+            case How.FAILED:
+                rest = wind.failed(backend, now)
+                why = outcome.why if outcome is not None else ""
+                tell(405, backend=backend.id, service=backend.service, why=why, seconds=rest)
+
+
+def reported_as(outcome: Outcome) -> How:
+    """An attempt's end as the registry is told it."""
+    match outcome.end:
+        case End.ANSWER:
+            return How.POOR if outcome.status >= 500 else How.GOOD
+        case End.PROMISE:
+            return How.ENDED if outcome.misdirected else How.FULL
+        case End.LOST if outcome.late:
+            return How.UNKNOWN  # its time was over, perhaps before its turn came; a dark one shows by its silence
+    return How.FAILED
+
+
+class RequestAttempts:
+    """The attempts of one request."""
+
+    def __init__(self, services: AttemptServices, admitted: AdmittedRequest) -> None:
+        self.services, self.admitted = services, admitted
+        self.loop = services.loop
+        self.running: list[Attempt] = []
+        self.tried: set[str] = set()
+        self.unsent = self.sent = 0  # attempts that ended
+        self.may_have_run = self.is_promised = False
+        self.last = Outcome(End.UNSENT, "no backend")
+        self.failure: Outcome | None = None  # a backend's own 5xx, the answer where there is no better one
+
+    async def run(self) -> Answer:
+        """The final answer. Refused where there is none of a backend; cancelled where the client has left and
+        nothing has begun that runs only once."""
+        try:
+            return await self._run()
+        except asyncio.CancelledError:
+            if not self._is_given_up():
+                raise
+            return await self._rest()
+        finally:
+            for attempt in self.running:
+                attempt.abandon("client left" if self._has_left() else "answered by another")
+
+    def promise(self) -> bool:
+        """The process ends: whether the request is promised not to run, as nothing of it was sent."""
+        if self.may_have_run or self.failure is not None or any(one.sent.is_sent for one in self.running):
+            return False
+        self.is_promised = True
+        return True
+
+    def _has_left(self) -> bool:
+        return self.admitted.request.departed_at is not None
+
+    def _is_given_up(self) -> bool:
+        """Whether our own task was cancelled for a reason that we know: else the process ends at once."""
+        return self._has_left() or self.is_promised
+
+    async def _run(self) -> Answer:
+        while True:
+            if self._wants_another():
+                await self._begin_another()
+            if not self.running:
+                return self._final()
+            if (answer := await self._next_answer()) is not None:
+                return answer
+
+    async def _rest(self) -> Answer:
+        """What is at work that may run once goes to its end; all else is over."""
+        going = [attempt for attempt in self.running if attempt.must_go_on]
+        for attempt in self.running:
+            if attempt not in going:
+                self.may_have_run |= attempt.sent.is_sent
+                attempt.abandon("client left" if self._has_left() else "process ends")
+        self.running = going
+        while self.running:
+            if (answer := await self._next_answer()) is not None:
+                return answer
+        return self._final()
+
+    # Steps
+
+    def _wants_another(self) -> bool:
+        """Whether a further attempt may begin now."""
+        route, now, until = self.admitted.route, self.loop.time(), self.admitted.until
+        if self._is_given_up() or (route.mutating and self.may_have_run):
+            return False
+        if self.sent + len(self.running) >= route.max_tries or self.unsent >= MOST_UNSENT:
+            return False
+        if until - now <= LEAST_LEFT_S or len(self.running) >= (1 if route.mutating else 2):
+            return False
+        return self._can_finish()
+
+    def _can_finish(self) -> bool:
+        """Whether an attempt that begins now is over before the process ends."""
+        drain = self.services.drain()
+        slowest_s = self.admitted.usual.longest
+        return drain is None or drain.may_begin(self.loop.time(), self.admitted.until, slowest_s)
+
+    async def _begin_another(self) -> None:
+        admitted, request = self.admitted, self.admitted.request
+        if not self.running:
+            request.phase = Phase.PLACEMENT
+        placed = await self.services.placer.place(self._needs())
+        if placed is None:
+            return
+        if not self._can_finish():  # we were told to end meanwhile
+            self.services.placer.give_back(placed)
+            return
+        self.tried.add(placed.backend.id)
+        self.running.append(Attempt(self.services, admitted, placed))
+        request.phase = Phase.BACKEND
+
+    def _needs(self) -> AttemptNeeds:
+        admitted, now = self.admitted, self.loop.time()
+        # a second one beside a slow one goes only where it begins at once: else it would slow all
+        hold = 0.0
+        if not self.running:
+            patient_until = admitted.request.arrived + HOLD_SHARE * admitted.route.target
+            hold = max(LEAST_HOLD_S, min(patient_until, admitted.until - admitted.usual.time) - now)
+        return AttemptNeeds(
+            admitted.service,
+            self.tried,
+            admitted.usual,
+            admitted.rank,
+            hold,
+            admitted.until,
+            admitted.permit,
+            admitted.route.mutating,
+            is_repeat=self.sent + len(self.running) > 0,
+        )
+
+    async def _next_answer(self) -> Answer | None:
+        """Wait until an attempt ends, or a second one is due; the answer, where there is one that counts."""
+        tasks = {attempt.task: attempt for attempt in self.running}
+        done, _ = await asyncio.wait(tasks, timeout=self._patience(), return_when=asyncio.FIRST_COMPLETED)
+        for task in done:
+            self.running.remove(tasks[task])
+            if task.cancelled():
+                self.may_have_run |= tasks[task].sent.is_sent
+                continue
+            if (answer := self._take(task.result())) is not None:
+                return answer
+        return None
+
+    def _patience(self) -> float | None:
+        """s after which a second attempt is begun beside the only one; None where none is."""
+        route = self.admitted.route
+        if route.mutating or len(self.running) != 1 or self.sent + 1 >= route.max_tries:
+            return None
+        return max(LEAST_PATIENCE_S, PATIENCE * self.admitted.usual.time)
+
+    def _take(self, outcome: Outcome) -> Answer | None:
+        """One attempt has ended."""
+        self.last = outcome
+        match outcome.end:
+            case End.ANSWER if self.admitted.route.mutating or outcome.status < 500:
+                return Answer(outcome.status, outcome.body, outcome.headers)
+            case End.ANSWER:
+                self.failure, self.may_have_run = outcome, True
+                self.sent += 1
+            case End.UNSENT:
+                self.unsent += 1
+            case _:
+                self.sent += 1
+                self.may_have_run |= outcome.end is End.LOST
+        return None
+
+    def _final(self) -> Answer:
+        """No attempt is at work, and none follows."""
+        if self.failure is not None:
+            return Answer(self.failure.status, self.failure.body, self.failure.headers)
+        if self.may_have_run:
+            status = 504 if self.loop.time() >= self.admitted.until - 2 * MARGIN_S else 502
+            raise Refused(status, self.last.why or "given up")
+        holds = self.last.end in (End.UNSENT, End.PROMISE)
+        invariant(holds, "only what has not run is promised", route=self.admitted.route.name)
+        if self.services.drain() is not None:
+            raise leaving()
+        raise Refused(503, self.last.why, AGAIN_S)
--- a/irisdeal/vane/backends.py
+++ b/irisdeal/vane/backends.py
@@ -25,6 +25,7 @@
 from irisdeal.http1.framing import HOP, OWS, Headers
 from irisdeal.mast.events import tell
 from irisdeal.load_balancing.backend_choice import Backend
+from irisdeal.vane.backend_message import BackendRequest
 
 CONNECT = 0.25  # s to come up: an accept queue that is full answers after seconds
 IDLE = 8.5  # s that a connection may rest where the backend tells nothing
@@ -84,19 +85,20 @@
 
     # One request
 
-    def start(self, message: bytes, id_: bytes, bodiless: bool, mutating: bool) -> asyncio.Future[Outcome]:
+    def start(self, request: BackendRequest) -> asyncio.Future[Outcome]:
         """Write the request; the outcome comes when it is known."""
         assert self.transport is not None
-        if self.mutating != mutating:
-            self.mutating = mutating
-            self.transport.get_extra_info("socket").setsockopt(
-                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT if mutating else USER_TIMEOUT_AGAIN
-            )
+        if self.mutating != request.is_mutating:
+            self.mutating = request.is_mutating
+            timeout = USER_TIMEOUT if self.mutating else USER_TIMEOUT_AGAIN
+            sock = self.transport.get_extra_info("socket")
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout)
         self.done = asyncio.get_running_loop().create_future()
-        self.id, self.bodiless = id_, bodiless
+        self.id, self.bodiless = request.attempt_id, request.is_bodiless
         self._fresh()
         self.used += 1
-        self.transport.write(message)
+        request.is_sent = True
+        self.transport.write(request.message)
         return self.done
 
     def _finish(self, outcome: Outcome, keep: bool) -> None:
@@ -241,41 +243,21 @@
         self.all: set[Connection] = set()
         loop.call_later(1.0, self._sweep)
 
-    async def send(
-        self,
-        backend: Backend,
-        message: bytes,
-        id_: bytes,
-        bodiless: bool,
-        mutating: bool,
-        until: float,
-        send_by: float = float("inf"),
-    ) -> Outcome:
-        """One attempt, which ends by `until` (s on the loop's clock); nothing is written behind it or `send_by`."""
-        send_by = min(until, send_by)
+    async def send(self, backend: Backend, request: BackendRequest) -> Outcome:
+        """One attempt. Cancelled, it ends at once, and its connection with it."""
+        send_by = min(request.until, request.send_by)
         # we stood still: its place and its permit were given for a time that is over
         if self.loop.time() >= send_by:
             return Outcome(End.UNSENT, "its time is over")
-        connection = self._rested(backend, mutating, id_)
+        connection = self._rested(backend, request.is_mutating, request.attempt_id)
         if connection is None:
-            if len(self.all) >= self.most and not self._make_room():
-                return Outcome(End.UNSENT, "no connection to be had")
-            connection = Connection(self, backend)
-            self.all.add(connection)
-            try:
-                async with asyncio.timeout(min(CONNECT, send_by - self.loop.time())):
-                    await self.loop.create_connection(lambda: connection, *backend.address)
-            except (OSError, TimeoutError) as error:
-                connection.drop()
-                return Outcome(End.UNSENT, f"not connected: {error or 'timed out'}")
-            if connection.dead or connection.transport is None:
-                return Outcome(End.UNSENT, "closed as it came up")
-            if has_bytes(connection.file):  # an end that is known before our first byte
-                connection.drop()
-                return Outcome(End.UNSENT, "closed as it came up")
-        waiting = connection.start(message, id_, bodiless, mutating)
+            opened = await self._open(backend, send_by)
+            if isinstance(opened, Outcome):
+                return opened
+            connection = opened
+        waiting = connection.start(request)
         try:
-            async with asyncio.timeout_at(until):
+            async with asyncio.timeout_at(request.until):
                 return await asyncio.shield(waiting)
         except TimeoutError:
             connection.give_up()
@@ -287,6 +269,28 @@
             if not connection.dead:
                 self._rest(connection)
 
+    async def _open(self, backend: Backend, send_by: float) -> Connection | Outcome:
+        """A new connection, or why there is none."""
+        if len(self.all) >= self.most and not self._make_room():
+            return Outcome(End.UNSENT, "no connection to be had")
+        connection = Connection(self, backend)
+        self.all.add(connection)
+        try:
+            async with asyncio.timeout(min(CONNECT, send_by - self.loop.time())):
+                await self.loop.create_connection(lambda: connection, *backend.address)
+        except (OSError, TimeoutError) as error:
+            connection.drop()
+            return Outcome(End.UNSENT, f"not connected: {error or 'timed out'}")
+        except asyncio.CancelledError:
+            connection.drop()
+            raise
+        if connection.dead or connection.transport is None:
+            return Outcome(End.UNSENT, "closed as it came up")
+        if has_bytes(connection.file):  # an end that is known before our first byte
+            connection.drop()
+            return Outcome(End.UNSENT, "closed as it came up")
+        return connection
+
     def _rested(self, backend: Backend, mutating: bool, id_: bytes = b"") -> Connection | None:
         """The connection that rested least, where it may be used for this attempt."""
         resting, now = self.resting.get(backend.id, []), self.loop.time()
--- a/irisdeal/vane/door.py
+++ b/irisdeal/vane/door.py
@@ -1,8 +1,7 @@
-"""One door: a request's way from its last byte to its answer.
+"""The proxy's process: a request's way from its last byte to its attempts, and the process's own end.
 
-What keeps the rules here: an attempt is repeated only after `UNSENT` or `PROMISE`, or `LOST` where the route is
-idempotent; 429 and 503 are answered only where no attempt may have run; a request runs by the table that was in
-force when it came, on a life of one of its route's services, named to the backend.
+A request runs by the table that was in force when it came, on a backend of one of its route's services. Its life is
+one task, which is cancelled as its client leaves: what it waits for, in whichever queue, ends with it.
 """
 
 from __future__ import annotations
@@ -12,55 +11,44 @@
 from collections import Counter
 
 from irisdeal.almanac.word import Word
-from irisdeal.gauge.messages import PlaceEnd
 from irisdeal.gauge.registry import Life, State
-from irisdeal.http1.framing import HOP, aliased
+from irisdeal.http1.messages import Answer, Request
 from irisdeal.http1.metrics_server import MetricsServer
 from irisdeal.http1.phase import Phase
-from irisdeal.http1.server import Answer, HttpServer, Request
-from irisdeal.placement.attempt_end import How
-from irisdeal.placement.load_reports import key
+from irisdeal.http1.server import HttpServer, Unanswered
+from irisdeal.load_balancing.backend_choice import Backend, Usual, Wind
 from irisdeal.mast.early import Listening
-from irisdeal.mast.events import invariant, tell
+from irisdeal.mast.events import tell
 from irisdeal.mast.process import Tasks
 from irisdeal.mast.settings import Settings, address
 from irisdeal.permits.allowance import Limit
+from irisdeal.placement.load_reports import key
 from irisdeal.ratelimit.retry_budget import PROXY_SLACK, RetryBudgets
 from irisdeal.vane.admission import RequestPermit, TenantAdmission
 from irisdeal.vane.applying import Applying
-from irisdeal.vane.attempt_placement import LEAST_HOLD_S, AttemptNeeds, AttemptPlacer, Placed
-from irisdeal.vane.backends import End, Outcome, Pool
+from irisdeal.vane.attempt_placement import AttemptPlacer
+from irisdeal.vane.attempts import (
+    HOLD_SHARE,
+    LEAST_LEFT_S,
+    AdmittedRequest,
+    AttemptServices,
+    RequestAttempts,
+)
+from irisdeal.vane.backends import Pool
+from irisdeal.vane.drain_plan import DrainPlan
 from irisdeal.vane.metrics import ProxyMetrics
-from irisdeal.vane.refusal import Refused, over_quota
+from irisdeal.vane.refusal import Refused, client_left, leaving, over_quota
 from irisdeal.vane.registry_client import RegistryClient
 from irisdeal.vane.sources import Sources
 from irisdeal.vane.table import Route, Table
-from irisdeal.load_balancing.backend_choice import Backend, Usual, Wind
 
-OWN = frozenset((b"x-irisdeal-target-backend", b"x-irisdeal-tenant", b"x-irisdeal-deadline-ms", b"authorization"))
 MOST_WAIT = 60.0  # s, where a client tells no deadline
-MARGIN = 0.004  # s of a deadline that the answer's way back takes
 FIRST_WAIT = 0.3  # s that a request at a door which has just started waits for the first configuration
-LEAST_LEFT = 0.010  # s under which no attempt is begun
-PATIENCE, LEAST_PATIENCE = 3.0, 0.1  # times the usual, s: then a second backend is asked as well
-HOLD_SHARE = 0.22  # of the aim that a request waits past the bound; refused later, it would be dear and useless
 FORGET = 0.999  # of the most time that a client gave, with each request that has less
 RANKS = 1000  # a tenant's priority goes before its route's
-MOST_UNSENT = 4  # backends that could not be reached, then the request is given up
-LEAVE_QUIET = 3.5  # s that the platform may go on handing connections to a door that is told to end
 BODY_LIMIT = 200  # descriptors that are not for sockets
-
-
-def told_as(outcome: Outcome) -> How:
-    """An attempt's end as the registry is told it."""
-    match outcome.end:
-        case End.ANSWER:
-            return How.POOR if outcome.status >= 500 else How.GOOD
-        case End.PROMISE:
-            return How.ENDED if outcome.misdirected else How.FULL
-        case End.LOST if outcome.late:
-            return How.UNKNOWN  # its time was over, perhaps before its turn came; a dark one shows by its silence
-    return How.FAILED
+GOLDEN = 0.6180339887498949  # the step of draws that are spread evenly: the golden ratio's fraction
+PROMISES = (429, 503)  # statuses that say that a request has not run
 
 
 class Door:
@@ -82,7 +70,7 @@
         self.given: dict[str, float] = {}  # the most time that a client gave of late, by route
         self.usual: dict[tuple[str, str], Usual] = {}
         self.registries = RegistryClient(settings, self.sources)
-        self.admission = TenantAdmission(self.registries, self.loop, self.chance, self._slots, self._go)
+        self.admission = TenantAdmission(self.registries, self.loop, self.chance, self._slots)
         self.gate = self.admission.gate
         slack = PROXY_SLACK * settings.bound("retry_slack", 50.0)
         self.repeats = RetryBudgets(
@@ -92,12 +80,26 @@
         self.placer = AttemptPlacer(
             settings.zone, self.services, self.pool, self.wind, self.registries, self.admission, self.repeats
         )
-        self.front = HttpServer(self.serve, self.loop)
+        self.front = HttpServer(self.serve, self.loop, ends_at_eof=True)
         self.readiness = HttpServer(self._ready, self.loop)
         self.metrics = ProxyMetrics()
         self.metrics_server = MetricsServer(settings, self.metrics, self.loop)
         self.front.on_departed = lambda request: self.metrics.departures.add(request.phase.value)
-        self.leaving = False
+        self.drain: DrainPlan | None = None  # once the process was told to end
+        self.is_last_call = False
+        self.draws: dict[str, float] = {}  # the last draw of each route among its services
+        self.attempts: dict[Request, RequestAttempts] = {}  # of the requests that are at work
+        self.attempt_services = AttemptServices(
+            self.loop,
+            self.tasks,
+            self.pool,
+            self.wind,
+            self.placer,
+            self.registries,
+            self.metrics,
+            self.sources.end,
+            lambda: self.drain,
+        )
 
     # What a process does
 
@@ -109,38 +111,42 @@
         await self.metrics_server.start()
 
     async def stop(self) -> None:
-        """Not ready at once; answer on; end when the last answer is out, or just before the grace is over."""
-        begun = self.loop.time()
-        grace = self.settings.bound("grace_s", 6.0) - 0.4
-        self.leaving = self.front.leaving = True
-        while self.loop.time() - begun < grace:
-            await asyncio.sleep(0.05)
-            if self.loop.time() - begun > LEAVE_QUIET and self.front.at_work == 0:
-                break
-        self._tell_cut()
+        """Not ready at once; finish or promise all that is taken; end when the last bytes are out."""
+        self.drain = plan = DrainPlan(self.loop.time(), self.settings.bound("grace_s", 6.0))
+        self.loop.call_at(plan.last_call_at, self._last_call)
+        unanswered = await self.front.drain(plan.quiet_until, plan.ends_at)
+        self._tell_unanswered(unanswered)
         self.sources.stop()
         self.tasks.cancel()
-        self.front.close()
         self.readiness.close()
         self.metrics_server.close()
 
-    def _tell_cut(self) -> None:
+    def _last_call(self) -> None:
+        """The process is about to end: what has not run is promised."""
+        self.is_last_call = True
+        for task, request in list(self.front.serving.items()):
+            attempts = self.attempts.get(request)
+            if attempts is None or attempts.promise():
+                task.cancel()
+
+    def _tell_unanswered(self, unanswered: Unanswered) -> None:
         """What has no answer, or not all of it, as the process ends."""
-        owed, unsent = self.front.owed(), self.front.unsent_bytes()
-        for request in owed:
+        requests, unsent = unanswered.requests, unanswered.unsent_bytes
+        for request in requests:
             self.metrics.cut.add(request.phase.value)
-        if unsent:
-            self.metrics.unsent.add(amount=unsent)
-        if owed or unsent:
-            phases = Counter(request.phase.value for request in owed)
-            tell(407, requests=len(owed), unsent_bytes=unsent, **phases)
+        self.metrics.unsent.add(amount=unsent)
+        told = self.metrics.drained.values
+        tell(416, **{outcome: int(told.get(outcome, 0)) for outcome in ("taken", "finished", "promised")})
+        if requests or unsent:
+            phases = Counter(request.phase.value for request in requests)
+            tell(407, requests=len(requests), unsent_bytes=unsent, **phases)
 
     def reload(self, settings: Settings) -> None:
         self.settings = settings
         self.sources.reload(settings)
 
     async def _ready(self, request: Request) -> Answer:
-        able = self.table is not None and self.admission.has_reported and not self.leaving
+        able = self.table is not None and self.admission.has_reported and self.drain is None
         return Answer(200 if able else 503, b"ready\n" if able else b"not ready\n")
 
     # News
@@ -205,14 +211,22 @@
     # A request
 
     async def serve(self, request: Request) -> Answer:
-        if self.leaving:
+        """The final answer to a request. Cancelled where its client leaves, or where the process ends at once."""
+        if self.drain is not None:
             self.metrics.drained.add("taken")
         try:
             answer = await self._carry(request)
         except Refused as refused:
             answer = refused.answer()
-        if self.leaving:
-            self.metrics.drained.add("promised" if answer.status in (429, 503) else "answered")
+        except asyncio.CancelledError:
+            if request.departed_at is not None:
+                answer = client_left().answer()
+            elif self.is_last_call:
+                answer = leaving().answer()
+            else:
+                raise
+        if self.drain is not None:
+            self.metrics.drained.add("promised" if answer.status in PROMISES else "finished")
         if request.departed_at is not None:
             self.metrics.work_after_departure.observe(self.loop.time() - request.departed_at)
         return answer
@@ -247,15 +261,26 @@
             raise over_quota(self.admission.companions[name].is_flooded(), is_known=True)
         return permit
 
-    async def _carry(self, request: Request) -> Answer:
+    async def _table(self) -> Table:
+        """The configuration in force; Refused where none is known soon."""
         if self.table is None:
             try:
                 async with asyncio.timeout(FIRST_WAIT):
                     await self.has_table.wait()
             except TimeoutError:
                 raise Refused(503, "no configuration yet", 0.1) from None
-        table = self.table
-        assert table is not None
+        assert self.table is not None
+        return self.table
+
+    def _service(self, route: Route) -> str:
+        """A service of the route by its weights: evenly spread draws, so that any hundred in a row hold them."""
+        draw = self.draws.get(route.name)
+        draw = self.chance.random() if draw is None else (draw + GOLDEN) % 1.0
+        self.draws[route.name] = draw
+        return route.service(draw)
+
+    async def _carry(self, request: Request) -> Answer:
+        table = await self._table()
         id_ = request.named.get(b"x-irisdeal-attempt-id", b"")
         if not id_ or not request.target.startswith(b"/"):
             raise Refused(400, "wanted an X-Irisdeal-Attempt-Id and a path")
@@ -265,161 +290,36 @@
         except ValueError:
             raise Refused(400, "X-Irisdeal-Deadline-Ms: wanted a number of ms") from None
         until = request.arrived + min(given, route.timeout, MOST_WAIT)
+        service = self._service(route)
+        usual = self.usual.setdefault((service, route.name), Usual())
+        if self.drain is not None and not self.drain.may_take(self.loop.time(), until, usual.longest):
+            raise leaving()
         if not tenant:
-            return await self._attempts(request, route, tenant, id_, until, route.priority, None)
+            admitted = AdmittedRequest(request, id_, route, service, "", route.priority, until, usual, None)
+            return await self._attempts(admitted)
         permit = self._ask(table, tenant, self._is_late(route, given))
         rank = table.tenants[tenant].priority * RANKS + route.priority
-        await self._enter(request, tenant, rank, route, until)
-        try:
-            return await self._attempts(request, route, tenant, id_, until, rank, permit)
-        finally:
-            for token in self.gate.leave(tenant, self.loop.time()):
-                self._go(token)
-
-    async def _enter(self, request: Request, tenant: str, rank: int, route: Route, until: float) -> None:
-        """Wait for a place within the tenant's bound; Refused when time runs short."""
-        now = self.loop.time()
-        request.phase = Phase.TENANT_QUEUE
-        token: asyncio.Future[None] = self.loop.create_future()
-        entered = self.gate.enter(tenant, rank, token, now)
-        if entered is None:
-            raise Refused(503, "too many wait", 0.2)
-        if entered:
-            return
-        try:
-            async with asyncio.timeout_at(min(now + HOLD_SHARE * route.target, until - LEAST_LEFT)):
-                await token
-        except TimeoutError:
-            if self.gate.give_up(tenant, token, self.loop.time()):
-                raise Refused(503, "no room in time", 0.2) from None
-
-    def _go(self, token: object) -> None:
-        assert isinstance(token, asyncio.Future)
-        if not token.done():
-            token.set_result(None)
+        admitted = AdmittedRequest(request, id_, route, service, tenant, rank, until, usual, permit)
+        return await self._within_bound(admitted, permit)
 
-    async def _attempts(
-        self,
-        request: Request,
-        route: Route,
-        tenant: str,
-        id_: bytes,
-        until: float,
-        rank: int,
-        permit: RequestPermit | None,
-    ) -> Answer:
-        """Attempts one after the other, and beside a silent one of an idempotent route a second."""
-        service = route.service(self.chance.random())
-        usual = self.usual.setdefault((service, route.name), Usual())
-        tried: set[str] = set()
-        running: set[asyncio.Task[Outcome]] = set()
-        unsent = sent = 0
-        last, poor = Outcome(End.UNSENT, "no backend"), None
-        may_have_run = False
-        while True:
-            now = self.loop.time()
-            may_send = sent + len(running) < route.max_tries and unsent < MOST_UNSENT and until - now > LEAST_LEFT
-            if request.left and not running:  # nobody waits any more
-                break
-            if may_send and len(running) < (1 if route.mutating else 2):
-                # A second one beside a slow one goes only where it begins at once: else it would slow all.
-                most = min(request.arrived + HOLD_SHARE * route.target, until - usual.time) - now
-                is_again = sent + len(running) > 0
-                hold = 0.0 if running else max(LEAST_HOLD_S, most)
-                needs = AttemptNeeds(service, tried, usual, rank, hold, until, permit, route.mutating, is_again)
-                if not running:
-                    request.phase = Phase.PLACEMENT
-                placed = await self.placer.place(needs)
-                if placed is not None:
-                    tried.add(placed.backend.id)
-                    attempt = self._one(request, route, tenant, id_, until, placed, usual, permit)
-                    running.add(self.tasks.start(attempt))
-                    request.phase = Phase.BACKEND
-            if not running:
-                break
-            may_double = not route.mutating and len(running) == 1 and sent + 1 < route.max_tries
-            patience = max(LEAST_PATIENCE, PATIENCE * usual.time) if may_double else None
-            done, running = await asyncio.wait(running, timeout=patience, return_when=asyncio.FIRST_COMPLETED)
-            for task in done:
-                last = task.result()
-                if last.end is End.ANSWER:
-                    if route.mutating or last.status < 500:
-                        return Answer(last.status, last.body, last.headers)  # another one goes on by itself
-                    poor, may_have_run = last, True
-                    sent += 1
-                elif last.end is End.UNSENT:
-                    unsent += 1
-                else:
-                    sent += 1
-                    may_have_run |= last.end is End.LOST
-            if route.mutating and may_have_run:
-                break
-        if poor is not None:
-            return Answer(poor.status, poor.body, poor.headers)
-        return self._given_up(route, last, may_have_run, until)
-
-    async def _one(
-        self,
-        request: Request,
-        route: Route,
-        tenant: str,
-        id_: bytes,
-        until: float,
-        placed: Placed,
-        usual: Usual,
-        permit: RequestPermit | None,
-    ) -> Outcome:
-        """One attempt at one backend, and what is learnt from it."""
-        begun, backend, how = self.loop.time(), placed.backend, How.UNKNOWN
-        send_by = permit.use() if permit is not None else float("inf")
-        message = self._message(request, backend, tenant, until - begun)
-        self.wind.sent(backend, begun)
+    async def _within_bound(self, admitted: AdmittedRequest, permit: RequestPermit) -> Answer:
+        """Within the bound of its tenant, with its permit; both are given back whatever becomes of it."""
+        admitted.request.phase = Phase.TENANT_QUEUE
+        patient_until = self.loop.time() + HOLD_SHARE * admitted.route.target
         try:
-            outcome = await self.pool.send(
-                backend, message, id_, request.bodiless, route.mutating, until - MARGIN, send_by
+            await self.admission.enter(
+                admitted.tenant, admitted.rank, min(patient_until, admitted.until - LEAST_LEFT_S)
             )
-            how = told_as(outcome)
-            if permit is not None and outcome.end in (End.UNSENT, End.PROMISE):
-                permit.give_back(send_by)
+            try:
+                return await self._attempts(admitted)
+            finally:
+                self.admission.leave(admitted.tenant)
         finally:
-            self.wind.ended(backend, begun)
-            if placed.number:
-                ratio = (self.loop.time() - begun) / max(0.001, usual.time)
-                self.registries.end_place(placed.source, PlaceEnd(placed.number, int(how), round(ratio, 2)))
-        now = self.loop.time()
-        match how:
-            case How.GOOD:
-                self.wind.answered(backend, usual, now - begun, placed.crowd, now)
-            case How.FULL:
-                self.wind.full(backend, now, usual.time)
-            case How.ENDED:
-                self.sources.end(backend.id)
-            case How.FAILED:
-                rest = self.wind.failed(backend, now)
-                tell(405, backend=backend.id, service=backend.service, why=outcome.why, seconds=rest)
-        return outcome
+            self.admission.end(permit)
 
-    def _given_up(self, route: Route, last: Outcome, may_have_run: bool, until: float) -> Answer:
-        if may_have_run:
-            status = 504 if self.loop.time() >= until - 2 * MARGIN else 502
-            raise Refused(status, last.why)
-        invariant(last.end in (End.UNSENT, End.PROMISE), "only what has not run is promised", route=route.name)
-        raise Refused(503, last.why, 0.1)
-
-    def _message(self, request: Request, backend: Backend, tenant: str, left: float) -> bytes:
-        """The request as the backend gets it."""
-        dropped = HOP | OWN
-        named = request.named.get(b"connection", b"").lower()
-        hop = {part.strip() for part in named.split(b",")} if named else ()
-        lines = [b"%s %s HTTP/1.1\r\n" % (request.method, request.target)]
-        for name, value in request.headers:
-            if aliased(name) not in dropped and name.lower() not in hop:
-                lines.append(b"%s: %s\r\n" % (name, value))
-        lines.append(b"X-Irisdeal-Deadline-Ms: %d\r\n" % max(1, int((left - MARGIN) * 1000)))
-        lines.append(b"X-Irisdeal-Target-Backend: %s\r\n" % backend.id.encode())
-        if tenant:
-            lines.append(b"X-Irisdeal-Tenant: %s\r\n" % tenant.encode())
-        if request.body or request.method not in (b"GET", b"HEAD", b"DELETE"):
-            lines.append(b"Content-Length: %d\r\n" % len(request.body))
-        lines.append(b"\r\n")
-        return b"".join(lines) + request.body
+    async def _attempts(self, admitted: AdmittedRequest) -> Answer:
+        attempts = self.attempts[admitted.request] = RequestAttempts(self.attempt_services, admitted)
+        try:
+            return await attempts.run()
+        finally:
+            del self.attempts[admitted.request]
--- a/irisdeal/vane/refusal.py
+++ b/irisdeal/vane/refusal.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from irisdeal.http1.server import Answer
+from irisdeal.http1.messages import Answer
 
 FLOODED_AGAIN_S = 1.0  # after which a client of a tenant that is far over its limit may come back
 AGAIN_S = 0.05  # likewise of one that is not: another proxy may have a permit
 UNKNOWN_AGAIN_S = 1.0  # likewise while no total is known: registries that start again have little to give at first
+LEAVING_AGAIN_S = 0.05  # likewise where this process ends: another serves at once
 NO_PERMIT_AGAIN_S = 0.6  # likewise where no registry gives permits: one that starts again is back in a second
 
 
@@ -36,3 +37,13 @@
 def without_permits() -> Refused:
     """The answer where no registry gives permits and none is held."""
     return Refused(503, "no registry gives permits", NO_PERMIT_AGAIN_S)
+
+
+def leaving() -> Refused:
+    """The answer of a process that ends to what it could not finish: it has not run."""
+    return Refused(503, "this proxy ends", LEAVING_AGAIN_S)
+
+
+def client_left() -> Refused:
+    """The answer to who has left, should it still read: its request has not run."""
+    return Refused(503, "its client has left")
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,7 +1,7 @@
 """Tests that are known to fail for a real fault: listed in KNOWN-RED.txt, run, and told at the end.
 
-A line is `test | cause | issue`, where `test` is a node id up to its parameters. A run fails on a listed test that
-passes, on one that does not exist, on a line that cannot be read and on more than `MOST` lines.
+A line is `test | cause | issue`, where `test` is a node id up to its parameters. A run fails on a listed test
+that passes, on one that does not exist, on a line that cannot be read and on more than `MOST` lines.
 """
 
 from __future__ import annotations
--- a/tests/core_rig.py
+++ b/tests/core_rig.py
@@ -28,7 +28,8 @@
 from irisdeal.sim.machine import Core, Costs, Machine
 from irisdeal.sim.net import Network, Socket, Way
 from irisdeal.sim.world import START, World
-from irisdeal.telegraph.link import Link, Server
+from irisdeal.telegraph.link import Link
+from irisdeal.telegraph.server import Server
 from irisdeal.vane.sources import Sources
 
 HOLD = 1.0  # s, the real store's
--- a/tests/request_world.py
+++ b/tests/request_world.py
@@ -22,7 +22,7 @@
 from irisdeal.sim.machine import Core, Costs, Machine
 from irisdeal.sim.net import Network, Way
 from irisdeal.sim.world import START, World
-from irisdeal.telegraph.link import Server
+from irisdeal.telegraph.server import LATER, Server
 from irisdeal.vane import backends
 from irisdeal.vane.door import Door
 
@@ -113,8 +113,8 @@
 def fields(head: bytes) -> dict[str, str]:
     """The fields of a head by their names in lower case; the first line under ``."""
     first, *lines = head.decode().split("\r\n")
-    named = {name.strip().lower(): value.strip() for name, _, value in (line.partition(":") for line in lines)}
-    return {"": first, **named}
+    parted = (line.partition(":") for line in lines)
+    return {"": first, **{name.strip().lower(): value.strip() for name, _, value in parted}}
 
 
 class Client(asyncio.Protocol):
@@ -148,7 +148,9 @@
             owed.status, owed.answered_at = int(named[""].split()[1]), self.world.now()
             self.is_told_to_close |= named.get("connection") == "close"
 
-    def send(self, sent: Sent, only: slice = slice(None), deadline_ms: int = 5000, answer_bytes: int = 2) -> None:
+    def send(
+        self, sent: Sent, only: slice = slice(None), deadline_ms: int = 5000, answer_bytes: int = 2
+    ) -> None:
         """Write this request, or a part of its bytes."""
         if sent not in self.sent:
             self.sent.append(sent)
@@ -156,7 +158,8 @@
         path = "/b/x" if sent.is_mutating else "/a/x"
         text = (
             f"POST {path} HTTP/1.1\r\nHost: h\r\nX-Irisdeal-Attempt-Id: {sent.attempt_id}\r\n"
-            f"X-Irisdeal-Deadline-Ms: {deadline_ms}\r\nX-Work-Ms: {sent.work_ms}\r\nAuthorization: Bearer k\r\n"
+            f"X-Irisdeal-Deadline-Ms: {deadline_ms}\r\nX-Work-Ms: {sent.work_ms}\r\n"
+            f"Authorization: Bearer k\r\n"
             f"X-Answer-Bytes: {answer_bytes}\r\nContent-Length: 4\r\n\r\nbody")
         if self.transport is not None:
             self.transport.write(text.encode()[only])
@@ -195,8 +198,6 @@
         self.server = Server(self.handle, self.quick, lambda peer: None)
 
     def quick(self, peer: str, kind: str, body: Any) -> Any:
-        from irisdeal.telegraph.link import LATER
-
         if kind == "ended":
             self.open.discard(int(body[0]))
             return None
@@ -270,7 +271,8 @@
     async def _serve_proxy(self) -> int:
         settings = Settings(
             node_name="d", role="proxy", ip=PROXY, zone="z", port_range=(7000, 7010), seed_peers=(),
-            zones={"z": "r"}, region="r", bounds=BOUNDS, bind=Bind(front=f"{PROXY}:80", readiness=f"{PROXY}:81"))
+            zones={"z": "r"}, region="r", bounds=BOUNDS,
+            bind=Bind(front=f"{PROXY}:80", readiness=f"{PROXY}:81"))
         self.door = door = Door(settings)
         self.ending = asyncio.Event()
         door.sources.has_heard.set()
@@ -366,8 +368,8 @@
         return [run for run in self.runs if run.attempt_id == sent.attempt_id]
 
     def work_for_departed(self) -> list[str]:
-        """Each run of a request that may be repeated, at work later than `STILL_S` after its client left, and each
-        request that reached the backend later than that."""
+        """Each run of a request that may be repeated, at work later than `STILL_S` after its client left, and
+        each request that reached the backend later than that."""
         found = []
         for sent in self.requests:
             if sent.left_at is None:
@@ -375,7 +377,8 @@
             until = sent.left_at + STILL_S
             for run in self.runs_of(sent):
                 if run.began > until:
-                    found.append(f"{sent.attempt_id} reached a backend {run.began - sent.left_at:.3f} s later")
+                    after = run.began - sent.left_at
+                    found.append(f"{sent.attempt_id} reached a backend {after:.3f} s later")
                 elif not sent.is_mutating and (ended := run.ended or self.now()) > until:
                     found.append(f"{sent.attempt_id} was at work {ended - sent.left_at:.3f} s later")
         return found
@@ -393,5 +396,6 @@
         ran_after_promise = [
             sent.attempt_id for sent in self.requests
             if sent.is_mutating and sent.status in (429, 503) and self.runs_of(sent)]
-        twice = [sent.attempt_id for sent in self.requests if sent.is_mutating and len(self.runs_of(sent)) > 1]
+        twice = [
+            sent.attempt_id for sent in self.requests if sent.is_mutating and len(self.runs_of(sent)) > 1]
         return ran_after_promise + twice
--- a/tests/test_almanac_tool.py
+++ b/tests/test_almanac_tool.py
@@ -42,7 +42,7 @@
 from irisdeal.cli.main import main
 from irisdeal.mast.settings import Address
 from irisdeal.squall.disk import MemoryDisk
-from irisdeal.telegraph.link import Server
+from irisdeal.telegraph.server import Server
 
 PORT = 7340
 IPS = ("10.0.0.1", "10.0.0.2", "10.0.0.3")
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -31,7 +31,9 @@
 from irisdeal.sim.world import START, World
 from irisdeal.telegraph import calls as table
 from irisdeal.telegraph.frames import MOST_FRAME, BadFrame, Reader, encode
-from irisdeal.telegraph.link import LATER, ONE_WAY, Link, Server
+from irisdeal.telegraph.frames import ONE_WAY
+from irisdeal.telegraph.link import Link
+from irisdeal.telegraph.server import LATER, Server
 from irisdeal.vane.registry_client import RegistryClient
 from irisdeal.vane.sources import Sources
 
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -27,9 +27,10 @@
 from irisdeal.almanac.word import Word
 from irisdeal.gauge.registry import Life
 from irisdeal.mast.settings import Settings
-from irisdeal.telegraph import link
+from irisdeal.telegraph import link, server
 from irisdeal.telegraph.frames import encode
-from irisdeal.telegraph.link import Link, Server
+from irisdeal.telegraph.link import Link
+from irisdeal.telegraph.server import Server
 from irisdeal.vane.sources import Sources
 
 PATIENCE = 5.0  # s: only a test that hangs meets it
@@ -158,8 +159,9 @@
 
 def test_the_tally_counts_every_byte_of_every_kind(monkeypatch: pytest.MonkeyPatch) -> None:
     for name in ("Reader", "encode"):
-        monkeypatch.setattr(link, name, getattr(link, name))
-    monkeypatch.setattr(link._Answers, "_write", link._Answers._write)
+        for module in (link, server):
+            monkeypatch.setattr(module, name, getattr(module, name))
+    monkeypatch.setattr(server._Answers, "_write", server._Answers._write)
     tally = Tally()
     tally.install()
 
--- a/tests/test_http1_server.py
+++ b/tests/test_http1_server.py
@@ -6,7 +6,8 @@
 from collections.abc import Callable
 from typing import Any
 
-from irisdeal.http1.server import Answer, HttpServer, Request
+from irisdeal.http1.messages import Answer, Request
+from irisdeal.http1.server import HttpServer
 from irisdeal.sim.machine import Core, Costs, Machine
 from irisdeal.sim.net import Network
 from irisdeal.sim.world import START, World
@@ -119,7 +120,7 @@
 
 def test_what_came_whole_before_the_end_of_a_process_is_answered() -> None:
     def leave(server: HttpServer) -> None:
-        server.loop.call_later(0.15, setattr, server, "leaving", True)
+        server.loop.call_later(0.15, setattr, server, "is_draining", True)
 
     play = Play([BODIED % 1 + BODIED % 2, 0.05], leave)
     assert play.play() == answers(1, 2)
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -10,12 +10,14 @@
 from irisdeal.almanac.metrics import StoreMetrics
 from irisdeal.gauge.metrics import RegistryMetrics
 from irisdeal.http1.metrics_server import MetricsServer
-from irisdeal.http1.server import Answer, Request
+from irisdeal.http1.messages import Answer, Request
 from irisdeal.mast.metrics import Metrics, MetricsAddress, parse_address
 from irisdeal.mast.settings import Settings, read
 from irisdeal.vane.metrics import ProxyMetrics
 
-GIVEN = {"node_name": "n", "role": "r", "ip": "10.0.0.1", "zone": "z", "port_range": [7000, 7010], "seed_peers": []}
+GIVEN = {
+    "node_name": "n", "role": "r", "ip": "10.0.0.1", "zone": "z",
+    "port_range": [7000, 7010], "seed_peers": []}
 
 
 def samples(text: bytes) -> dict[tuple[str, str], float]:
@@ -62,7 +64,8 @@
 
 
 @pytest.mark.parametrize(("method", "target", "status"), [
-    (b"GET", b"/metrics", 200), (b"GET", b"/metrics?x=1", 200), (b"GET", b"/", 404), (b"POST", b"/metrics", 405),
+    (b"GET", b"/metrics", 200), (b"GET", b"/metrics?x=1", 200), (b"GET", b"/", 404),
+    (b"POST", b"/metrics", 405),
 ])
 def test_the_page_is_there_and_no_other(method: bytes, target: bytes, status: int) -> None:
     settings = Settings("n", "r", "10.0.0.1", "z", (7000, 7010), (), metrics="9100/metrics")
--- a/tests/test_station.py
+++ b/tests/test_station.py
@@ -14,7 +14,7 @@
 from irisdeal.gauge import store
 from irisdeal.gauge.registry import Life, State, hear_life
 from irisdeal.gauge.station import LEARN, Station
-from irisdeal.http1.server import Answer, Request
+from irisdeal.http1.messages import Answer, Request
 from irisdeal.mast.settings import Bind, Settings
 from irisdeal.sim.machine import Machine
 from tests.core_rig import CoreRig, settings_of
--- a/tests/test_vane_attempts.py
+++ b/tests/test_vane_attempts.py
@@ -11,12 +11,13 @@
 
 from irisdeal.almanac.word import Word
 from irisdeal.gauge.registry import Life, State
-from irisdeal.http1.server import Answer, Request
+from irisdeal.http1.messages import Answer, Request
 from irisdeal.mast.settings import Bind, Settings
 from irisdeal.permits.messages import ReserveReply
 from irisdeal.sim.machine import Core, Costs, Machine
 from irisdeal.sim.net import Network
 from irisdeal.sim.world import START, World
+from irisdeal.vane.backend_message import BackendRequest
 from irisdeal.vane.backends import End, Outcome
 from irisdeal.vane.door import Door
 
@@ -61,9 +62,10 @@
         for number in range(3):
             door._on_life(Life(f"i-{number}", "s", f"10.9.0.{number}:80", "z", 2, State.READY, 1, 0.0), False)
 
-        async def send(backend: Any, message: bytes, id_: bytes, *_: Any) -> Outcome:
+        async def send(backend: Any, request: BackendRequest) -> Outcome:
             self.sent.append((backend.id, self.machine.time()))
-            self.messages.append(message)
+            self.messages.append(request.message)
+            request.is_sent = True
             seconds, outcome = self.script.pop(0)
             await asyncio.sleep(seconds)
             return outcome
@@ -71,7 +73,7 @@
         if self.held:
             reply = ReserveReply(1, True, {"t": self.held})
             door.admission.held.hear("g", reply, self.machine.time(), self.machine.time())
-        door.pool.send = send  # type: ignore[method-assign, assignment]
+        door.pool.send = send  # type: ignore[method-assign]
         self.prepare(door)
         return door
 
@@ -85,7 +87,7 @@
             named = {"Host": "h", "X-Irisdeal-Attempt-Id": "1", "X-Irisdeal-Deadline-Ms": "1500", **headers}
             fields = [(name.encode(), value.encode()) for name, value in named.items()]
             request = Request(b"POST", b"/a/x", fields, b"text", self.machine.time())
-            request.left = self.left
+            request.departed_at = self.machine.time() if self.left else None
             work: Awaitable[Answer] = door.serve(request)
             answers.append(await work)
             self.took = self.machine.time() - request.arrived
--- a/tests/test_vane_backends.py
+++ b/tests/test_vane_backends.py
@@ -8,6 +8,7 @@
 import pytest
 
 from irisdeal.vane import backends
+from irisdeal.vane.backend_message import BackendRequest
 from irisdeal.vane.backends import Connection, End, Outcome, Pool
 from irisdeal.load_balancing.backend_choice import Backend
 
@@ -42,6 +43,13 @@
         return self.ended
 
 
+def asked(
+    id_: bytes, is_mutating: bool = True, until: float = float("inf"), send_by: float = float("inf"),
+) -> BackendRequest:
+    """A request as it is sent to a backend."""
+    return BackendRequest(b"POST / HTTP/1.1\r\n\r\n", id_, False, is_mutating, until, send_by)
+
+
 def played(pieces: list[bytes], closes: bool = False) -> tuple[Outcome | None, bool]:
     """The outcome of one request whose connection brings these pieces; whether it is done with."""
 
@@ -49,7 +57,7 @@
         pool = Pool(asyncio.get_running_loop(), 8)
         connection, wire = Connection(pool, Backend("i", "s", ("127.0.0.1", 1), "z", 0, 2, 0.0)), Wire()
         connection.connection_made(wire)  # type: ignore[arg-type]
-        done = connection.start(b"GET / HTTP/1.1\r\n\r\n", b"a1", False, False)
+        done = connection.start(asked(b"a1", is_mutating=False))
         for piece in pieces:
             connection.data_received(piece)
         if closes:
@@ -119,10 +127,10 @@
         pool = Pool(asyncio.get_running_loop(), 8)
         connection = Connection(pool, Backend("i", "s", ("127.0.0.1", 1), "z", 0, 2, 0.0))
         connection.connection_made(Wire())  # type: ignore[arg-type]
-        connection.start(b"GET / HTTP/1.1\r\n\r\n", b"a1", False, True)
+        connection.start(asked(b"a1"))
         connection.data_received(first)
         assert not connection.dead
-        done = connection.start(b"GET / HTTP/1.1\r\n\r\n", id_, False, True)
+        done = connection.start(asked(id_))
         connection.data_received(then)
         return done.result()
 
@@ -166,13 +174,12 @@
         pool, backend, wire = Pool(loop, 8), Backend("i", "s", ("127.0.0.1", 1), "z", 0, 2, 0.0), Wire()
         connection = Connection(pool, backend)
         connection.connection_made(wire)  # type: ignore[arg-type]
-        connection.start(b"POST / HTTP/1.1\r\n\r\n", b"a1", False, True)
+        connection.start(asked(b"a1"))
         connection.data_received(FULL)
         pool._rest(connection)
         wire.written.clear()
         until, send_by = loop.time() + left, loop.time() + send_left
-        message = b"POST / HTTP/1.1\r\n\r\n"
-        return await pool.send(backend, message, id_, False, True, until, send_by), wire
+        return await pool.send(backend, asked(id_, until=until, send_by=send_by)), wire
 
     return asyncio.run(play())
 
--- a/tests/test_wire_judge.py
+++ b/tests/test_wire_judge.py
@@ -23,7 +23,8 @@
 from irisdeal.sim.net import Network, Way
 from irisdeal.sim.world import START, Stuck, World
 from irisdeal.telegraph import link as telegraph
-from irisdeal.telegraph.link import Link, Server
+from irisdeal.telegraph.link import Link
+from irisdeal.telegraph.server import Server
 from irisdeal.vane import backends
 from irisdeal.vane.backends import Connection, End, Outcome, Pool
 from irisdeal.vane.door import Door
