--- a/irisdeal/load_balancing/backend_choice.py
+++ b/irisdeal/load_balancing/backend_choice.py
@@ -17,6 +17,7 @@
 PACE_WEIGHT = 0.2  # of the newest answer in a backend's pace
 USUAL_WEIGHT = 0.05  # of the newest answer in what a kind usually takes
 FIRST_USUAL = 0.15  # s
+LEAST_SEEN = 32  # answers, of which the longest tells how long others may take
 LONGEST_KEPT = 0.995  # of the longest time of late, with each answer: half of it after 140
 CROSSING = 0.3  # of a request's usual time, that another zone must be quicker by
 CONNECTING = 0.15  # likewise a new connection: it is dear, and takes its time
@@ -61,6 +62,11 @@
     seen: int = 0
     longest: float = 0.0  # of late, as it came to clients: queues at the backend counted
 
+    @property
+    def slowest(self) -> float:
+        """s of the slowest answers of late; 0 where too few were seen to tell."""
+        return self.longest if self.seen >= LEAST_SEEN else 0.0
+
     def took(self, seconds: float, in_all: float) -> None:
         """An answer came. `seconds`: less what was there already; `in_all`: as it was."""
         self.seen += 1
--- a/irisdeal/vane/attempts.py
+++ b/irisdeal/vane/attempts.py
@@ -226,8 +226,9 @@
     def _can_finish(self) -> bool:
         """Whether an attempt that begins now is over before the process ends."""
         drain = self.services.drain()
-        slowest_s = self.admitted.usual.longest
-        return drain is None or drain.may_begin(self.loop.time(), self.admitted.until, slowest_s)
+        if drain is None:
+            return True
+        return drain.may_begin(self.loop.time(), self.admitted.until, self.admitted.usual.slowest)
 
     async def _begin_another(self) -> None:
         admitted, request = self.admitted, self.admitted.request
--- a/irisdeal/vane/door.py
+++ b/irisdeal/vane/door.py
@@ -292,7 +292,7 @@
         until = request.arrived + min(given, route.timeout, MOST_WAIT)
         service = self._service(route)
         usual = self.usual.setdefault((service, route.name), Usual())
-        if self.drain is not None and not self.drain.may_take(self.loop.time(), until, usual.longest):
+        if self.drain is not None and not self.drain.may_take(self.loop.time(), until, usual.slowest):
             raise leaving()
         if not tenant:
             admitted = AdmittedRequest(request, id_, route, service, "", route.priority, until, usual, None)
--- a/tests/request_world.py
+++ b/tests/request_world.py
@@ -16,9 +16,10 @@
 from unittest import mock
 
 from irisdeal.almanac.word import Word
-from irisdeal.gauge.messages import PlaceReply, PlaceRequest, PlaceResult
+from irisdeal.gauge.messages import IntervalReply, PlaceReply, PlaceRequest, PlaceResult
 from irisdeal.gauge.registry import Life, State
 from irisdeal.mast.settings import Bind, Settings
+from irisdeal.permits.messages import ReserveReply
 from irisdeal.sim.machine import Core, Costs, Machine
 from irisdeal.sim.net import Network, Way
 from irisdeal.sim.world import START, World
@@ -30,10 +31,16 @@
 FRONT = (PROXY, 80)
 GRACE_S = 6.0
 SLOTS = 1000  # at all backends: no tenant waits for its bound unless a test says so
+DEADLINE_MS = 5000  # of the clients' requests, where a test does not say otherwise
+MOST_WORK_S = DEADLINE_MS / 1000 - 0.2  # after a request, until when no run ends by its deadline
+LOSS_SLACK_S = 0.2  # after a request's last byte, until when a connection may end without an answer to it
 STILL_S = 0.5  # after a client has left, until when work for it may go on
 BOUNDS = ("retry_slack=56", f"grace_s={GRACE_S}")
 
 
+FULL = b"HTTP/1.1 503 Full\r\nX-Irisdeal-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+
+
 class Leaving(Enum):
     """How a client ends its connection."""
 
@@ -59,7 +66,8 @@
     attempt_id: str
     is_mutating: bool
     work_ms: int
-    at: float = 0.0
+    at: float = 0.0  # when its last byte was written
+    is_whole: bool = False
     status: int = 0
     answered_at: float | None = None
     left_at: float | None = None
@@ -92,6 +100,10 @@
         if len(rest) < length:
             return
         self.buffer = rest[length:]
+        if self.world.backend_is_full:
+            if self.transport is not None:
+                self.transport.write(FULL)
+            return
         self.run = run = Run(named["x-irisdeal-attempt-id"], self.world.now())
         self.world.runs.append(run)
         asyncio.get_running_loop().call_later(int(named["x-work-ms"]) / 1000, self._answer, run, named)
@@ -149,12 +161,12 @@
             self.is_told_to_close |= named.get("connection") == "close"
 
     def send(
-        self, sent: Sent, only: slice = slice(None), deadline_ms: int = 5000, answer_bytes: int = 2
+        self, sent: Sent, only: slice = slice(None), deadline_ms: int = DEADLINE_MS, answer_bytes: int = 2
     ) -> None:
         """Write this request, or a part of its bytes."""
         if sent not in self.sent:
             self.sent.append(sent)
-            sent.at = self.world.now()
+        sent.at, sent.is_whole = self.world.now(), only.stop is None
         path = "/b/x" if sent.is_mutating else "/a/x"
         text = (
             f"POST {path} HTTP/1.1\r\nHost: h\r\nX-Irisdeal-Attempt-Id: {sent.attempt_id}\r\n"
@@ -194,12 +206,16 @@
     def __init__(self, world: RequestWorld) -> None:
         self.world, self.hold_s, self.number = world, 0.0, 0
         self.waiting = 0
-        self.open: set[int] = set()  # places that were given and whose end was not told
-        self.server = Server(self.handle, self.quick, lambda peer: None)
+        self.open: dict[int, str] = {}  # places that were given and whose end was not told, and over what
+        self.server = Server(self.handle, self.quick, self.lost)
+
+    def lost(self, peer: str) -> None:
+        """A connection ended, and what was given over it is free."""
+        self.open = {number: over for number, over in self.open.items() if over != peer}
 
     def quick(self, peer: str, kind: str, body: Any) -> Any:
         if kind == "ended":
-            self.open.discard(int(body[0]))
+            self.open.pop(int(body[0]), None)
             return None
         return LATER
 
@@ -208,19 +224,21 @@
             case "place" if self.hold_s > 0 and PlaceRequest.decode(body).hold_s > 0:
                 return PlaceReply(PlaceResult.WAIT).encode()
             case "place":
-                return self._place()
+                return self._place(peer)
             case "wait":
                 self.waiting += 1
                 try:
                     await asyncio.sleep(self.hold_s)
                 finally:
                     self.waiting -= 1
-                return self._place()
+                return self._place(peer)
+            case "count":  # no total is told here
+                return IntervalReply(0.0, 8, -1, ReserveReply(1)).encode()
         raise ValueError(kind)
 
-    def _place(self) -> Any:
+    def _place(self, peer: str) -> Any:
         self.number += 1
-        self.open.add(self.number)
+        self.open[self.number] = peer
         return PlaceReply(PlaceResult.PLACED, self.number, "i-0", 1.0).encode()
 
 
@@ -233,7 +251,8 @@
         self.net = Network(self.world)
         self.chance = random.Random(seed)
         self.max_tries = max_tries
-        self.answers_are_lost = False
+        self.still_s = STILL_S
+        self.answers_are_lost = self.backend_is_full = False
         self.runs: list[Run] = []
         self.requests: list[Sent] = []
         self.clients: list[Client] = []
@@ -347,7 +366,7 @@
         return client
 
     async def ask(
-        self, work_ms: int, is_mutating: bool = False, deadline_ms: int = 5000, answer_bytes: int = 2
+        self, work_ms: int, is_mutating: bool = False, deadline_ms: int = DEADLINE_MS, answer_bytes: int = 2
     ) -> tuple[Client, Sent] | None:
         """A request on a connection of its own."""
         client = await self.connect()
@@ -374,7 +393,7 @@
         for sent in self.requests:
             if sent.left_at is None:
                 continue
-            until = sent.left_at + STILL_S
+            until = sent.left_at + self.still_s
             for run in self.runs_of(sent):
                 if run.began > until:
                     after = run.began - sent.left_at
@@ -384,12 +403,30 @@
         return found
 
     def without_end(self) -> list[str]:
-        """Each request whose client stayed and that had no answer, though the proxy had passed it on."""
+        """Each whole request whose client stayed and that had no answer: passed on, or cut late."""
+        found = []
+        for sent in self.requests:
+            if sent.answered_at is not None or sent.left_at is not None or not sent.is_whole:
+                continue
+            if self.runs_of(sent):
+                found.append(f"{sent.attempt_id} of {sent.work_ms} ms sent at {sent.at:.3f} was passed on and cut")
+            elif sent.closed_at is None or sent.closed_at - sent.at > LOSS_SLACK_S:
+                found.append(f"{sent.attempt_id} sent at {sent.at:.3f} was cut at {sent.closed_at}")
+        return found
+
+    def given_up(self) -> list[str]:
+        """Each run of what may run once that was broken off before its deadline, though nothing was in trouble."""
         return [
-            f"{sent.attempt_id} of {sent.work_ms} ms sent at {sent.at:.3f}"
-            for sent in self.requests
-            if sent.answered_at is None and sent.left_at is None and self.runs_of(sent)
-        ]
+            f"{sent.attempt_id} was broken off after {run.ended - run.began:.3f} s"
+            for sent in self.requests if sent.is_mutating
+            for run in self.runs_of(sent)
+            if run.ended is not None and not run.is_whole and run.ended < sent.at + MOST_WORK_S]
+
+    def wrong_answers(self) -> list[str]:
+        """Each request that was answered though its run had not come to its end, or otherwise than it ended."""
+        return [
+            sent.attempt_id for sent in self.requests
+            if sent.status == 200 and not any(run.is_whole for run in self.runs_of(sent))]
 
     def broken_promises(self) -> list[str]:
         """Each request that was promised not to run and ran, and each mutating one that ran twice."""
