Tests: calls between processes that end with their asker, drains of both servers, the front's FIN

Now by itself: which calls end with their asker and which go on; an answer that comes as its asker is cancelled is heard as a late one (in the program before it was lost, by reading, and the place it gave stayed taken until its time was over); turns in the queue for places are handed on; the front answers a half-closed client with what became of its requests.

--- a/tests/request_world.py
+++ b/tests/request_world.py
@@ -409,13 +409,13 @@
             if sent.answered_at is not None or sent.left_at is not None or not sent.is_whole:
                 continue
             if self.runs_of(sent):
-                found.append(f"{sent.attempt_id} of {sent.work_ms} ms sent at {sent.at:.3f} was passed on and cut")
+                found.append(f"{sent.attempt_id} of {sent.work_ms} ms, sent at {sent.at:.3f}, was cut amid work")
             elif sent.closed_at is None or sent.closed_at - sent.at > LOSS_SLACK_S:
                 found.append(f"{sent.attempt_id} sent at {sent.at:.3f} was cut at {sent.closed_at}")
         return found
 
     def given_up(self) -> list[str]:
-        """Each run of what may run once that was broken off before its deadline, though nothing was in trouble."""
+        """Each run of what may run once that was broken off before its deadline, with nothing in trouble."""
         return [
             f"{sent.attempt_id} was broken off after {run.ended - run.began:.3f} s"
             for sent in self.requests if sent.is_mutating
@@ -423,7 +423,7 @@
             if run.ended is not None and not run.is_whole and run.ended < sent.at + MOST_WORK_S]
 
     def wrong_answers(self) -> list[str]:
-        """Each request that was answered though its run had not come to its end, or otherwise than it ended."""
+        """Each request that was answered though its run had not come to its end."""
         return [
             sent.attempt_id for sent in self.requests
             if sent.status == 200 and not any(run.is_whole for run in self.runs_of(sent))]
--- a/tests/test_acknowledged_ends.py
+++ b/tests/test_acknowledged_ends.py
@@ -103,8 +103,8 @@
             rig.at(at, partial(ask_if_up, rig, host))
         for id_ in ids:  # beats that come late: they were sent before
             if chance.random() < 0.05:
-                late = partial(rig.call, chance.choice(rig.hosts), "POST", f"/backends/{id_}/heartbeat", beat())
-                rig.at(at, late)
+                target = f"/backends/{id_}/heartbeat"
+                rig.at(at, partial(rig.call, chance.choice(rig.hosts), "POST", target, beat()))
         at += 0.1
     rig.play(LAST_S + WATCH_S + 0.5)
     sources = [(when, states(told)) for when, told in rig.heard if told[5] >= 0 and when > rig.struck_at]
--- /dev/null
+++ b/tests/test_call_lifetime.py
@@ -0,0 +1,252 @@
+"""A call between processes ends with who asked, where it is worked on for him alone; a server ends by a drain."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from returns.result import Failure, Success
+
+from irisdeal.gauge.messages import PlaceRequest, PlaceResult
+from irisdeal.gauge.placement_service import PlacementService
+from irisdeal.gauge.registry import Life, Registry, State
+from irisdeal.sim.machine import Machine
+from irisdeal.telegraph.calls import CALLS, ends_with_asker
+from irisdeal.telegraph.link import Link
+from irisdeal.telegraph.server import Server
+from tests.test_calls import Two
+
+HELD_S = 1.0  # that each call takes
+WAY_S = 0.01  # some ways there and back
+
+
+class Answering:
+    """A server whose calls take `HELD_S`; which of them ended how, and when."""
+
+    def __init__(self) -> None:
+        self.begun: list[str] = []
+        self.ended: list[tuple[str, str, float]] = []
+        self.server: Server | None = None
+
+    def make(self) -> Server:
+        self.server = Server(self.handle)
+        return self.server
+
+    async def handle(self, peer: str, kind: str, body: Any) -> Any:
+        self.begun.append(kind)
+        loop = asyncio.get_running_loop()
+        try:
+            await asyncio.sleep(HELD_S)
+        except asyncio.CancelledError:
+            self.ended.append((kind, "cancelled", loop.time()))
+            raise
+        self.ended.append((kind, "done", loop.time()))
+        return body
+
+    def how(self) -> dict[str, str]:
+        return {kind: how for kind, how, _ in self.ended}
+
+
+KINDS = ("wait", "news", "watch", "put", "told", "read")
+HELD = {"wait", "news", "watch"}
+
+
+def test_what_ends_with_its_asker_is_what_is_worked_on_for_him_alone() -> None:
+    assert {kind for kind in CALLS if ends_with_asker(kind)} == HELD
+    assert not ends_with_asker("no such call")
+
+
+def gone(two: Two, act: Callable[[Link, list[asyncio.Task[Any]]], None]) -> tuple[Answering, float]:
+    """Calls of each kind, whose asker goes 0.2 s later; when he did."""
+    answering = Answering()
+    two.serve(answering.make)
+
+    async def scenario() -> float:
+        link = two.link()
+        tasks = [asyncio.ensure_future(link.call(kind, None, 5.0)) for kind in KINDS]
+        await asyncio.sleep(0.2)
+        assert sorted(answering.begun) == sorted(KINDS)
+        at = asyncio.get_running_loop().time()
+        act(link, tasks)
+        await asyncio.sleep(2.0)
+        return at
+
+    return answering, two.play(scenario())
+
+
+def cancel_all(link: Link, tasks: list[asyncio.Task[Any]]) -> None:
+    for task in tasks:
+        task.cancel()
+
+
+def close(link: Link, tasks: list[asyncio.Task[Any]]) -> None:
+    link.close()
+
+
+@pytest.mark.parametrize("act", [cancel_all, close], ids=["cancelled", "connection ended"])
+def test_calls_that_are_held_for_an_asker_end_with_him_and_others_go_to_their_end(
+    act: Callable[[Link, list[asyncio.Task[Any]]], None],
+) -> None:
+    answering, at = gone(Two(), act)
+    assert answering.how() == {kind: "cancelled" if kind in HELD else "done" for kind in KINDS}
+    assert all(ended - at < WAY_S for kind, _, ended in answering.ended if kind in HELD)
+
+
+def test_a_process_that_dies_takes_its_asks_with_it() -> None:
+    two, answering = Two(), Answering()
+    two.serve(answering.make)
+    other = Machine(two.world, two.net, "caller", two.caller.core, two.caller.costs)
+
+    async def asks() -> int:
+        link = two.link()
+        await asyncio.gather(*(link.call(kind, None, 5.0) for kind in KINDS))
+        return 0
+
+    other.start(asks())
+
+    async def scenario() -> None:
+        await asyncio.sleep(0.2)
+        other.kill()
+        await asyncio.sleep(2.0)
+
+    two.play(scenario())
+    assert answering.how() == {kind: "cancelled" if kind in HELD else "done" for kind in KINDS}
+
+
+def test_an_answer_that_came_as_its_asker_was_cancelled_is_heard_as_a_late_one() -> None:
+    """What it gave has to be given back: the place of a request whose client left in that moment."""
+    two, answering = Two(), Answering()
+    two.serve(answering.make)
+
+    async def scenario() -> None:
+        link = two.link()
+        for step in range(40):
+            task = asyncio.ensure_future(link.call("wait", [step, "i-1", 1.0], 5.0))
+            await asyncio.sleep(HELD_S + 0.0001 * step)
+            if not task.done():
+                task.cancel()
+            await asyncio.sleep(0.05)
+            got = 0 if task.cancelled() else 1
+            late = sum(body[0] == step for _, body in two.late)
+            finished = answering.ended[-1][1] == "done"
+            assert got + late == finished, f"step {step}: an answer went to nobody, or to two"
+
+    two.play(scenario(), 100.0)
+    assert two.late, "no answer came in that moment"
+
+
+def test_a_given_up_call_does_not_count_for_its_connection() -> None:
+    """What was given up is answered by its end, so that nothing is waited for over this connection."""
+    two, answering = Two(), Answering()
+    two.serve(answering.make)
+
+    async def scenario() -> int:
+        link = two.link()
+        for _ in range(5):
+            task = asyncio.ensure_future(link.call("news", None, 5.0))
+            await asyncio.sleep(0.1)
+            task.cancel()
+        await asyncio.sleep(0.1)
+        assert link.calls is not None
+        return len(link.calls.late)
+
+    assert two.play(scenario()) == 0
+
+
+# Drains
+
+
+def test_a_drain_answers_what_is_at_work_ends_what_is_held_and_begins_nothing() -> None:
+    two, answering = Two(), Answering()
+    two.serve(answering.make)
+
+    async def scenario() -> tuple[dict[str, Any], Any, int]:
+        link = two.link()
+        tasks = {kind: asyncio.ensure_future(link.call(kind, kind, 5.0)) for kind in KINDS}
+        await asyncio.sleep(0.2)
+        assert answering.server is not None
+        server, loop = answering.server, two.host
+        drained: list[int] = []
+
+        async def drain() -> None:
+            server.begin_drain(frozenset({"told"}))
+            await asyncio.sleep(0.3)
+            drained.append(await server.drain(loop.time() + 3.0))
+
+        loop.call_soon(lambda: server.tasks.start(drain()))
+        await asyncio.sleep(0.1)
+        refused = await link.call("put", None, 1.0)
+        tasks["told again"] = asyncio.ensure_future(link.call("told", "told again", 5.0))
+        await asyncio.wait(tasks.values())
+        await asyncio.sleep(0.5)
+        assert link.calls is not None and not link.calls.open, "the connection is closed behind the last answer"
+        return {kind: task.result() for kind, task in tasks.items()}, refused, drained[0]
+
+    ended, refused, cut = two.play(scenario())
+    for kind in KINDS:
+        assert isinstance(ended[kind], Failure if kind in HELD else Success), kind
+    assert isinstance(refused, Failure) and isinstance(ended["told again"], Success)
+    assert cut == 0
+
+
+def test_a_drain_is_over_by_its_time_and_tells_what_was_cut() -> None:
+    two, answering = Two(), Answering()
+    two.serve(answering.make)
+
+    async def scenario() -> tuple[Any, int, float]:
+        link = two.link()
+        task = asyncio.ensure_future(link.call("put", None, 5.0))
+        await asyncio.sleep(0.2)
+        assert answering.server is not None
+        server, loop = answering.server, two.host
+        begun, cut = loop.time(), []
+
+        async def drain() -> None:
+            cut.append((await server.drain(loop.time() + 0.3), loop.time() - begun))
+
+        loop.call_soon(lambda: loop.create_task(drain()))
+        return await task, *(await until(cut))
+
+    answer, cut, took = two.play(scenario())
+    assert isinstance(answer, Failure) and cut == 1 and took < 0.4
+
+
+async def until(there: list[Any]) -> Any:
+    while not there:
+        await asyncio.sleep(0.01)
+    return there[0]
+
+
+# The queue for places
+
+
+def test_who_gives_up_waiting_for_a_place_leaves_the_queue_and_hands_on_his_turn() -> None:
+    async def main() -> tuple[list[str], int]:
+        loop = asyncio.get_running_loop()
+        registry = Registry(1.5)
+        registry.hear(Life("i-1", "s", "a:1", "z", 1, State.READY, 1, 0.0), loop.time())
+        places = PlacementService({"z": "r"}, registry, loop)
+        ask = PlaceRequest("z", "s", 0.1, [], 0, 1.5, 2.0)
+        taken = places.place("proxy 1#1", ask)
+        assert taken is not None and taken.result is PlaceResult.PLACED
+        served: list[str] = []
+
+        async def wait(name: str) -> None:
+            reply = await places.wait("proxy 1#1", ask)
+            if reply.result is PlaceResult.PLACED:
+                served.append(name)
+
+        waiting = [asyncio.ensure_future(wait(name)) for name in ("first", "second", "third")]
+        await asyncio.sleep(0)
+        waiting[1].cancel()
+        await asyncio.sleep(0)
+        places.lost("proxy 1#1")  # the place is free: the first is woken
+        waiting[0].cancel()  # in that moment
+        await asyncio.wait(waiting, timeout=0.5)
+        left = sum(len(queue.heap) - len(queue.dead) for queue in places.placer.waiting.values())
+        return served, left
+
+    served, left = asyncio.run(main())
+    assert served == ["third"] and left == 0
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -108,7 +108,7 @@
 def told(monkeypatch: pytest.MonkeyPatch) -> list[int]:
     """The numbers of events that are told from now on."""
     numbers: list[int] = []
-    for module in ("irisdeal.telegraph.link",):
+    for module in ("irisdeal.telegraph.link", "irisdeal.telegraph.server"):
         monkeypatch.setattr(f"{module}.tell", lambda number, **fields: numbers.append(number))
     assert events.CATALOGUE
     return numbers
--- a/tests/test_http1_server.py
+++ b/tests/test_http1_server.py
@@ -6,16 +6,18 @@
 from collections.abc import Callable
 from typing import Any
 
+from irisdeal.http1.connection import Connection
 from irisdeal.http1.messages import Answer, Request
 from irisdeal.http1.server import HttpServer
 from irisdeal.sim.machine import Core, Costs, Machine
 from irisdeal.sim.net import Network
 from irisdeal.sim.world import START, World
+from tests.request_world import reset
 
 ADDRESS = ("10.0.0.2", 80)
 BODIED = b"POST /%d HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"
 EXPECTING = b"POST /%d HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n"
-Step = bytes | float | str  # write, wait for s, or `eof`, `abort`
+Step = bytes | float | str  # write, wait for s, or `eof`, `abort`, `reset`
 
 
 class Play:
@@ -65,6 +67,8 @@
                     transport.write_eof()
                 case "abort":
                     transport.abort()
+                case "reset":
+                    reset(transport)
                 case float():
                     await asyncio.sleep(step)
         await asyncio.sleep(4.0)
@@ -154,3 +158,100 @@
 
     play: Any = Play([(BODIED % 1)[:-1]], brief)
     assert play.play() == [] and play.ran == [] and play.ended_at > 0
+
+
+# A client's end ends what is done for it, where the server is told so
+
+
+def ends_at_eof(server: HttpServer) -> None:
+    server.ends_at_eof = True
+
+
+def test_a_fin_ends_the_handler_and_what_waits_is_not_begun_and_promised() -> None:
+    play = Play([BODIED % 1 + BODIED % 2 + BODIED % 3, 0.05, "eof"], ends_at_eof)
+    play.play()
+    assert play.heard.count(b"HTTP/1.1 503 ") == 3 and play.ran == [b"/1"]
+    assert 0 < play.ended_at < 0.3 and play.heard.count(b"Connection: close") == 1
+
+
+def test_a_reset_ends_the_handler_whatever_the_server_was_told() -> None:
+    ended: list[float] = []
+
+    def watched(server: HttpServer) -> None:
+        async def handle(request: Request) -> Answer:
+            try:
+                await asyncio.sleep(2.0)
+            except asyncio.CancelledError:
+                ended.append(server.loop.time() - START / 1e6)
+                raise
+            return Answer(200)
+
+        server.handler = handle
+
+    play = Play([BODIED % 1, 0.05, "reset"], watched)
+    assert play.play() == []
+    assert len(ended) == 1 and ended[0] < 0.2
+    assert not play.server.serving and not play.server.owed()
+
+
+def test_a_handler_that_shields_its_work_ends_it_and_nobody_is_answered_twice() -> None:
+    done: list[bytes] = []
+
+    def shielding(server: HttpServer) -> None:
+        async def work(request: Request) -> Answer:
+            await asyncio.sleep(0.5)
+            done.append(request.target)
+            return Answer(200, b"did")
+
+        async def handle(request: Request) -> Answer:
+            return await asyncio.shield(server.tasks.start(work(request)))
+
+        server.handler = handle
+        server.ends_at_eof = True
+
+    play = Play([BODIED % 1, 0.05, "eof"], shielding)
+    assert play.play() == [b"HTTP/1.1 503 Service Unavailable"] and done == [b"/1"]
+
+
+class Gone:
+    """The transport of a client that has gone, which the system knows and we were not told."""
+
+    def __init__(self) -> None:
+        self.is_aborted = False
+
+    def get_extra_info(self, _: str) -> Any:
+        return self
+
+    def setsockopt(self, *_: int) -> None:
+        pass
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
+    def is_closing(self) -> bool:
+        return self.is_aborted
+
+    def write(self, data: bytes) -> None:
+        pass
+
+    def write_eof(self) -> None:
+        raise OSError(107, "Transport endpoint is not connected")
+
+    def abort(self) -> None:
+        self.is_aborted = True
+
+
+def test_a_client_that_the_system_knows_to_be_gone_leaves_no_connection_behind() -> None:
+    async def main() -> bool:
+        async def handle(request: Request) -> Answer:
+            return Answer(200, close=True)
+
+        server, transport = HttpServer(handle, asyncio.get_running_loop()), Gone()
+        connection = Connection(server)
+        connection.connection_made(transport)  # type: ignore[arg-type]
+        connection.data_received(BODIED % 0)
+        await asyncio.gather(*server.serving)
+        await asyncio.sleep(0)
+        return transport.is_aborted
+
+    assert asyncio.run(main())
--- a/tests/test_request_lifetime.py
+++ b/tests/test_request_lifetime.py
@@ -1,4 +1,4 @@
-"""A request's life ends with its client: nothing is done for who has left but what runs once and may have begun."""
+"""A request's life ends with its client: what runs once and may have begun is all that goes on then."""
 
 from __future__ import annotations
 
--- a/tests/test_station.py
+++ b/tests/test_station.py
@@ -34,8 +34,8 @@
     def settings(self, ip: str) -> Settings:
         of, is_first = settings_of(ip, self.hosts), ip not in self.stations
         return Settings(
-            bootstrap=is_first, node_name=of.node_name, role="gauge", ip=ip, zone=of.zone, port_range=of.port_range,
-            seed_peers=of.seed_peers, bind=Bind(control=f"{ip}:8000"))
+            bootstrap=is_first, node_name=of.node_name, role="gauge", ip=ip, zone=of.zone,
+            port_range=of.port_range, seed_peers=of.seed_peers, bind=Bind(control=f"{ip}:8000"))
 
     def start_post(self, host: str) -> Machine:
         async def run() -> int:
