--- a/benchmarks/capacity/crowd.py
+++ b/benchmarks/capacity/crowd.py
@@ -45,7 +45,7 @@
     def _door(self, number: int) -> HollowDoor:
         given = self.given
         settings = Settings(
-            f"edge-{number}", "vane", f"127.99.{number >> 8}.{number & 255}",
+            f"edge-{number}", "proxy", f"127.99.{number >> 8}.{number & 255}",
             given["zones"][number % len(given["zones"])], tuple(given["port_range"]), tuple(given["seeds"]),
             zones=dict.fromkeys(given["zones"], "here"))
         return HollowDoor(settings, self.shared, given["active"], given["tenants"])
--- a/benchmarks/capacity/hollow.py
+++ b/benchmarks/capacity/hollow.py
@@ -24,8 +24,8 @@
 from irisdeal.ratelimit.interval_clock import LENGTH, Edge
 from irisdeal.ratelimit.interval_counter import Usage
 from irisdeal.telegraph.link import Link
-from irisdeal.vane.registry_client import RegistryClient
-from irisdeal.vane.sources import ASK, Sources
+from irisdeal.proxy.registry_client import RegistryClient
+from irisdeal.proxy.sources import ASK, Sources
 
 CONNECTIONS = 8  # of one process of hollow backends to each registry
 ANSWER = 1.0  # s for a beat to be acknowledged, as the deployments have it
--- a/benchmarks/capacity/play.py
+++ b/benchmarks/capacity/play.py
@@ -39,13 +39,13 @@
         self.stores: list[Process] = []
         self.doors: list[Process] = []
         self.backends: list[Process] = []
-        self.vane: Process | None = None
+        self.proxy: Process | None = None
         self.number = 1
         self.phases: dict[str, Any] = {}
 
     @property
     def all(self) -> list[Process]:
-        return [*self.doors, *self.backends, *self.gauges, *self.stores, *([self.vane] if self.vane else [])]
+        return [*self.doors, *self.backends, *self.gauges, *self.stores, *([self.proxy] if self.proxy else [])]
 
     # Processes
 
@@ -74,12 +74,12 @@
         path.write_text(json.dumps(given), "utf-8")
         return Process(name, ["benchmarks.capacity.crowd", str(path)], self.folder)
 
-    def start_vane(self) -> None:
+    def start_proxy(self) -> None:
         """One real door, for its memory and processor time."""
         path = write_settings(
-            self.folder, "door", "vane", DOOR, self.zones[0], self.zones,
+            self.folder, "door", "proxy", DOOR, self.zones[0], self.zones,
             f'front = "{DOOR}:8782"\nreadiness = "{DOOR}:8789"')
-        self.vane = Process("door", ["irisdeal.vane"], self.folder, path)
+        self.proxy = Process("door", ["irisdeal.proxy"], self.folder, path)
 
     def end(self) -> None:
         for process in self.all:
@@ -113,14 +113,14 @@
 
     def watch(self, name: str, seconds: float, **more: Any) -> dict[str, Any]:
         """A window: what each role used in it, in a second."""
-        before, door, at = self.sample(), self.vane.usage() if self.vane else None, time.monotonic()
+        before, door, at = self.sample(), self.proxy.usage() if self.proxy else None, time.monotonic()
         time.sleep(seconds)
         after, lasted = self.sample(), time.monotonic() - at
         told = {"seconds": round(lasted, 2), **more,
                 "registry": per_second(before, after, [p.name for p in self.gauges], lasted),
                 "store": per_second(before, after, [p.name for p in self.stores], lasted)}
-        if self.vane and door:
-            now = self.vane.usage()
+        if self.proxy and door:
+            now = self.proxy.usage()
             told["door"] = {"cpu": round((now.cpu - door.cpu) / lasted, 4), "mb": round(now.mb, 1),
                             "sockets": now.sockets}
         self.phases[name] = told
@@ -190,7 +190,7 @@
 
     def change(self) -> dict[str, Any]:
         """One change of configuration: s until the core has it and until all doors have it; what it cost in all."""
-        before, door, at = self.sample(), self.vane.usage() if self.vane else None, time.monotonic()
+        before, door, at = self.sample(), self.proxy.usage() if self.proxy else None, time.monotonic()
         told: dict[str, Any] = self.put()
         while time.monotonic() - at < PATIENCE:
             if all(report["number"] >= self.number - 1 for report in self.reports(self.doors)):
@@ -201,8 +201,8 @@
         after = self.sample()
         told |= {"registry": per_second(before, after, [p.name for p in self.gauges], 1.0),
                  "store": per_second(before, after, [p.name for p in self.stores], 1.0)}
-        if self.vane and door:
-            told["door_cpu_s"] = round(self.vane.usage().cpu - door.cpu, 3)
+        if self.proxy and door:
+            told["door_cpu_s"] = round(self.proxy.usage().cpu - door.cpu, 3)
         return told
 
     def run(self, rates: list[float]) -> dict[str, Any]:
@@ -213,7 +213,7 @@
         time.sleep(4.0)  # all beats were heard
         self.watch("beats", self.window / 2)
         self.phases["doors one by one"] = self.start_doors()
-        self.start_vane()
+        self.start_proxy()
         self.phases["moves until quiet"] = self.settle()
         self.watch("quiet", self.window)
         count = max(1, round(self.restarts * self.window))
--- a/benchmarks/departures.py
+++ b/benchmarks/departures.py
@@ -26,7 +26,7 @@
 CORE, PROXY = "127.9.0.1", "127.9.0.2"
 FIRST_PORT, PORTS = 18_600, 16
 CONTROL, FRONT, READINESS, BACKEND = 18_700, 18_701, 18_702, 18_703
-METRICS = {"vane": 18_710, "gauge": 18_711, "almanac": 18_712}
+METRICS = {"proxy": 18_710, "gauge": 18_711, "almanac": 18_712}
 GRACE_S = 6.0  # from SIGTERM to SIGKILL
 UP_BY_S = 15.0  # for a gateway to serve its first request
 PATIENCE_S = 9.0  # that a client waits for an answer
@@ -196,7 +196,7 @@
     running: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
 
     def start(self, role: str) -> None:
-        ip = PROXY if role == "vane" else CORE
+        ip = PROXY if role == "proxy" else CORE
         settings = self.folder / f"{role}.toml"
         settings.write_text(
             SETTINGS.format(
@@ -268,7 +268,7 @@
     await processes.backend.listen(CORE, BACKEND)
     beating = asyncio.ensure_future(processes.beat())
     try:
-        for role in ("almanac", "gauge", "vane"):
+        for role in ("almanac", "gauge", "proxy"):
             processes.start(role)
         up_by = time.monotonic() + UP_BY_S
         while await call(CORE, CONTROL, "POST /config/replace", configuration()) != 200:
@@ -377,8 +377,8 @@
     warm = [Client(f"warm-{number}", next(work)) for number in range(9)]
     await asyncio.gather(*(client.ask() for client in warm))
     signalled = time.monotonic()
-    processes.terminate("vane")
-    ended = asyncio.ensure_future(processes.ended("vane", GRACE_S + 1))
+    processes.terminate("proxy")
+    ended = asyncio.ensure_future(processes.ended("proxy", GRACE_S + 1))
     while not ended.done():
         client = Client(f"term-{len(clients)}", next(work))
         clients.append(client)
@@ -417,8 +417,8 @@
 
     reading = [asyncio.ensure_future(read_slowly(number)) for number in range(count)]
     await asyncio.sleep(0.5)
-    processes.terminate("vane")
-    await processes.ended("vane", GRACE_S + 1)
+    processes.terminate("proxy")
+    await processes.ended("proxy", GRACE_S + 1)
     return sum(await asyncio.gather(*reading))
 
 
@@ -446,7 +446,7 @@
                 ", ".join(f"{count} {end.value}" for end, count in result.ends.items()),
             )
             print(f"passed on and cut: {len(result.cut_after_s)}, sent after the signal: {result.cut_after_s}")
-            print(f"failed tasks in the proxy's log (E105): {processes.log('vane').count('E105')}")
+            print(f"failed tasks in the proxy's log (E105): {processes.log('proxy').count('E105')}")
             print(f"orders that had an answer amid a SIGTERM of the registry: {await orders(processes)} of 5")
     with tempfile.TemporaryDirectory() as name:
         async with gateway(Path(name)) as processes:
--- a/benchmarks/differences.py
+++ b/benchmarks/differences.py
@@ -29,8 +29,8 @@
 from irisdeal.almanac.reading import Reading, reading
 from irisdeal.almanac.shelf import Arrivals, Shelf
 from irisdeal.almanac.word import NOTHING, Word
-from irisdeal.vane.applying import SLICE
-from irisdeal.vane.table import Table
+from irisdeal.proxy.config_apply import SLICE
+from irisdeal.proxy.table import Table
 from tests.words import change, configuration
 
 ROUTES = 19_000  # of the size aimed at
--- a/irisdeal/load_balancing/backend_choice.py
+++ b/irisdeal/load_balancing/backend_choice.py
@@ -75,7 +75,7 @@
 
 
 @dataclass(slots=True)
-class Wind:
+class BackendChoice:
     """The choices of one door."""
 
     chance: random.Random = field(default_factory=random.Random)
@@ -116,8 +116,12 @@
             if not backend.resting:
                 cost += usual * CONNECTING
             cost *= 1.0 + 0.1 * self.chance.random()
-            if (backend.silent or backend.rests_until > now or backend.full_until > now
-                    or self.is_suspect(backend, usual, now)):
+            if (
+                backend.silent
+                or backend.rests_until > now
+                or backend.full_until > now
+                or self.is_suspect(backend, usual, now)
+            ):
                 if spare is None or backend.rests_until < spare.rests_until:
                     spare = backend
             elif best is None or cost < least:
--- a/irisdeal/mast/events.py
+++ b/irisdeal/mast/events.py
@@ -8,7 +8,7 @@
 
 INFO, WARNING, ERROR = logging.INFO, logging.WARNING, logging.ERROR
 
-# Hundreds: 1 process, 2 almanac, 3 gauge, 4 vane, 5 telegraph, 9 invariants.
+# Hundreds: 1 process, 2 almanac, 3 gauge, 4 proxy, 5 telegraph, 9 invariants.
 CATALOGUE: dict[int, tuple[int, str]] = {
     100: (INFO, "started"),
     101: (INFO, "told to end"),
--- a/irisdeal/placement/placer.py
+++ b/irisdeal/placement/placer.py
@@ -22,7 +22,7 @@
 from irisdeal.placement.attempt_end import How
 from irisdeal.placement.load_reports import key
 from irisdeal.telegraph.calls import name_of
-from irisdeal.load_balancing.backend_choice import Backend, Wind
+from irisdeal.load_balancing.backend_choice import Backend, BackendChoice
 
 CROSSING = 0.6  # of a usual time, that another zone must be quicker by: its bytes are dear, its load is told late
 REGION = 2.0  # likewise another region
@@ -63,7 +63,7 @@
     def __init__(self, regions: dict[str, str], chance: random.Random) -> None:
         """`regions`: the region of each zone."""
         self.regions, self.chance = regions, chance
-        self.wind = Wind(chance)
+        self.choice = BackendChoice(chance)
         self.backends: dict[str, Backend] = {}
         self.keys: dict[int, Backend] = {}
         self.services: dict[str, dict[str, list[Backend]]] = {}  # service -> zone -> backends
@@ -112,8 +112,8 @@
         backend = self._choose(zone, service, usual, frozenset(avoid), frozenset(connected), now, only_free)
         if backend is None:
             return None
-        crowd = self.wind.crowd(backend)
-        self.wind.sent(backend, now)
+        crowd = self.choice.crowd(backend)
+        self.choice.sent(backend, now)
         self.number += 1
         self.places[self.number] = Place(door, backend, now, crowd, until)
         self.doors.setdefault(door, set()).add(self.number)
@@ -148,16 +148,16 @@
     ) -> tuple[Backend | None, float]:
         """The cheapest and its cost in usual times beyond the first; dear and suspect ones are not `free`."""
         best, least = None, 0.0
-        wind = self.wind
+        choice = self.choice
         for backend in backends:
             there = backend.out + backend.others
             if (only_free and there >= backend.capacity * FREE) or backend.key in avoid:
                 continue
             shunned = (backend.silent or backend.rests_until > now or backend.full_until > now
-                       or (backend.out and wind.is_suspect(backend, usual, now)))
+                       or (backend.out and choice.is_suspect(backend, usual, now)))
             if shunned and only_free:
                 continue
-            cost = (wind.expected(backend, 1.0, now) - 1.0 + crossing + ILL_COST * backend.ill
+            cost = (choice.expected(backend, 1.0, now) - 1.0 + crossing + ILL_COST * backend.ill
                     + JITTER * self.chance.random() + (10.0 if shunned else 0.0))
             if backend.key not in connected:
                 cost += CONNECTING
@@ -173,8 +173,8 @@
             return None
         del self.places[number]
         self._freed(place.door, number)
-        backend, wind = place.backend, self.wind
-        wind.ended(backend, place.begun)
+        backend, choice = place.backend, self.choice
+        choice.ended(backend, place.begun)
         bad = how in (How.FAILED, How.POOR)
         if how not in (How.UNKNOWN, How.ABANDONED):
             share = self.failing.get(name, 0.0)
@@ -183,17 +183,17 @@
                 backend.ill += ILL_WEIGHT * (bad - backend.ill)
         match how:
             case How.GOOD:
-                wind.paced(backend, ratio / place.crowd, now, PACE_WEIGHT)
+                choice.paced(backend, ratio / place.crowd, now, PACE_WEIGHT)
             case How.POOR:  # as quick as it may be, it is no better for it
                 backend.heard = now
             case How.FULL:
-                wind.full(backend, now, 0.1)
+                choice.full(backend, now, 0.1)
             case How.ENDED:
                 self.retire(backend.id)
             case How.FAILED if self.failing[name] < ILL_DOOR:
-                wind.failed(backend, now)
+                choice.failed(backend, now)
             case How.ABANDONED if self.failing.get(name, 0.0) < ILL_DOOR:
-                wind.abandoned(backend, place.begun, ratio / place.crowd, now, PACE_WEIGHT)
+                choice.abandoned(backend, place.begun, ratio / place.crowd, now, PACE_WEIGHT)
         return backend.service
 
     def _freed(self, door: str, number: int) -> None:
@@ -207,7 +207,7 @@
         services = set()
         for number in self.doors.pop(door, set()):
             place = self.places.pop(number)
-            self.wind.ended(place.backend, place.begun)
+            self.choice.ended(place.backend, place.begun)
             services.add(place.backend.service)
         self.failing.pop(name_of(door), None)
         return services
@@ -218,7 +218,7 @@
         for number, place in [(n, p) for n, p in self.places.items() if p.until < now]:
             del self.places[number]
             self._freed(place.door, number)
-            self.wind.ended(place.backend, place.begun)
+            self.choice.ended(place.backend, place.begun)
             services.add(place.backend.service)
         return services
 
--- a/irisdeal/vane/__main__.py
+++ b/irisdeal/proxy/__main__.py
@@ -1,4 +1,4 @@
-"""`python -m irisdeal.vane`: the proxy."""
+"""`python -m irisdeal.proxy`: the proxy."""
 
 import sys
 
@@ -7,6 +7,6 @@
 if __name__ == "__main__":
     listening = listen("front", "readiness")  # before the rest is loaded, which takes longer than all else
     from irisdeal.mast.process import main
-    from irisdeal.vane.door import Door
+    from irisdeal.proxy.process import Proxy
 
-    sys.exit(main(lambda settings: Door(settings, listening)))
+    sys.exit(main(lambda settings: Proxy(settings, listening)))
--- a/irisdeal/vane/admission.py
+++ b/irisdeal/proxy/admission.py
@@ -21,8 +21,8 @@
 from irisdeal.ratelimit.interval_clock import LENGTH, Edge
 from irisdeal.ratelimit.interval_counter import Usage, Usages
 from irisdeal.ratelimit.rate_companion import RateCompanion
-from irisdeal.vane.refusal import Refused, over_quota
-from irisdeal.vane.registry_client import RegistryClient, Reported
+from irisdeal.proxy.refusal import Refused, over_quota
+from irisdeal.proxy.registry_client import RegistryClient, Reported
 
 SEND_WITHIN_S = 0.35  # `IN_FLIGHT_S` of an allowance, less what a message to a backend takes
 LEAST_SPREAD, MOST_SPREAD = 0.04, 0.28  # of an interval, when a proxy reports: not all at the edge
--- a/irisdeal/vane/attempt_placement.py
+++ b/irisdeal/proxy/attempt_placement.py
@@ -12,11 +12,11 @@
 from irisdeal.gauge.messages import PlaceEnd, PlaceRequest, PlaceResult
 from irisdeal.placement.attempt_end import How
 from irisdeal.ratelimit.retry_budget import RetryBudgets
-from irisdeal.vane.admission import SEND_WITHIN_S, RequestPermit, TenantAdmission
-from irisdeal.vane.backends import Pool
-from irisdeal.vane.refusal import without_permits
-from irisdeal.vane.registry_client import PLACE_S, Placement, RegistryClient
-from irisdeal.load_balancing.backend_choice import Backend, Usual, Wind
+from irisdeal.proxy.admission import SEND_WITHIN_S, RequestPermit, TenantAdmission
+from irisdeal.proxy.connection_pool import ConnectionPool
+from irisdeal.proxy.refusal import without_permits
+from irisdeal.proxy.registry_client import PLACE_S, Placement, RegistryClient
+from irisdeal.load_balancing.backend_choice import Backend, Usual, BackendChoice
 
 FIRST_WAIT_S = 0.3  # that a request at a proxy which has just started waits for a first registry
 LEAST_HOLD_S = 0.001  # a first attempt goes to the best there is, full or not, when its time to wait is over
@@ -62,14 +62,14 @@
         self,
         zone: str,
         services: dict[str, dict[str, Backend]],
-        pool: Pool,
-        wind: Wind,
+        pool: ConnectionPool,
+        choice: BackendChoice,
         registries: RegistryClient,
         admission: TenantAdmission,
         repeats: RetryBudgets,
     ) -> None:
         """`services`: the backends of each by their ids, as the proxy knows them at any time."""
-        self.zone, self.services, self.pool, self.wind = zone, services, pool, wind
+        self.zone, self.services, self.pool, self.choice = zone, services, pool, choice
         self.registries, self.admission, self.repeats = registries, admission, repeats
         self.loop = asyncio.get_running_loop()
 
@@ -160,21 +160,21 @@
         if has_place:
             self.registries.end_place(placement.registry, PlaceEnd(reply.number, int(How.UNKNOWN)))
         own = self._choose(needs)
-        return Placed(own, self.wind.crowd(own)) if own is not None else None
+        return Placed(own, self.choice.crowd(own)) if own is not None else None
 
     def _place_alone(self, needs: AttemptNeeds, is_counted: bool) -> Placed | None:
         """Our own choice, and a repeat from what the requests that no registry counted allow."""
         now, backend = self.loop.time(), self._choose(needs)
-        if backend is None or (needs.hold_s <= 0 and not self.wind.is_free(backend)):
+        if backend is None or (needs.hold_s <= 0 and not self.choice.is_free(backend)):
             return None
         if needs.is_repeat:
             if not self.repeats.spend(needs.service, now, self.admission.sharers()):
                 return None
         elif not is_counted:
             self.repeats.request(needs.service, now)
-        return Placed(backend, self.wind.crowd(backend))
+        return Placed(backend, self.choice.crowd(backend))
 
     def _choose(self, needs: AttemptNeeds) -> Backend | None:
         known = self.services.get(needs.service, {})
         untried = [backend for backend in known.values() if backend.id not in needs.tried]
-        return self.wind.choose(untried, needs.usual.time, self.loop.time())
+        return self.choice.choose(untried, needs.usual.time, self.loop.time())
--- a/irisdeal/vane/attempts.py
+++ b/irisdeal/proxy/attempts.py
@@ -18,20 +18,21 @@
 from irisdeal.gauge.messages import PlaceEnd
 from irisdeal.http1.messages import Answer, Request
 from irisdeal.http1.phase import Phase
-from irisdeal.load_balancing.backend_choice import Usual, Wind
+from irisdeal.load_balancing.backend_choice import Usual, BackendChoice
 from irisdeal.mast.events import invariant, tell
 from irisdeal.mast.process import Tasks
 from irisdeal.placement.attempt_end import How
-from irisdeal.vane import backend_message
-from irisdeal.vane.admission import RequestPermit
-from irisdeal.vane.attempt_placement import LEAST_HOLD_S, AttemptNeeds, AttemptPlacer, Placed
-from irisdeal.vane.backend_message import MARGIN_S, BackendRequest
-from irisdeal.vane.backends import End, Outcome, Pool
-from irisdeal.vane.drain_plan import DrainPlan
-from irisdeal.vane.metrics import ProxyMetrics
-from irisdeal.vane.refusal import Refused, leaving
-from irisdeal.vane.registry_client import RegistryClient
-from irisdeal.vane.table import Route
+from irisdeal.proxy import backend_message
+from irisdeal.proxy.admission import RequestPermit
+from irisdeal.proxy.attempt_placement import LEAST_HOLD_S, AttemptNeeds, AttemptPlacer, Placed
+from irisdeal.proxy.backend_message import MARGIN_S, BackendRequest
+from irisdeal.proxy.connection_pool import ConnectionPool
+from irisdeal.proxy.outcome import End, Outcome
+from irisdeal.proxy.drain_plan import DrainPlan
+from irisdeal.proxy.metrics import ProxyMetrics
+from irisdeal.proxy.refusal import Refused, leaving
+from irisdeal.proxy.registry_client import RegistryClient
+from irisdeal.proxy.table import Route
 
 LEAST_LEFT_S = 0.010  # of a request's time under which no attempt is begun
 PATIENCE, LEAST_PATIENCE_S = 3.0, 0.1  # times the usual, s: then a second backend is asked as well
@@ -61,8 +62,8 @@
 
     loop: asyncio.AbstractEventLoop
     tasks: Tasks
-    pool: Pool
-    wind: Wind
+    pool: ConnectionPool
+    choice: BackendChoice
     placer: AttemptPlacer
     registries: RegistryClient
     metrics: ProxyMetrics
@@ -85,7 +86,7 @@
             admitted.until - MARGIN_S,
             permit.use() if permit is not None else float("inf"),
         )
-        services.wind.sent(placed.backend, self.begun)
+        services.choice.sent(placed.backend, self.begun)
         self.task = services.tasks.start(services.pool.send(placed.backend, self.sent))
         self.task.add_done_callback(self._ended)
 
@@ -108,7 +109,7 @@
             outcome = task.result() if task.exception() is None else Outcome(End.LOST, "a fault of our own")
             how = reported_as(outcome)
         ratio = (now - self.begun) / max(0.001, usual.time)
-        services.wind.ended(backend, self.begun)
+        services.choice.ended(backend, self.begun)
         if self.placed.number:
             end = PlaceEnd(self.placed.number, int(how), round(ratio, 2))
             services.registries.end_place(self.placed.source, end)
@@ -120,18 +121,18 @@
         return not self.sent.is_sent if outcome is None else outcome.end in (End.UNSENT, End.PROMISE)
 
     def _learn(self, how: How, outcome: Outcome | None, ratio: float, now: float) -> None:
-        wind, backend, usual = self.services.wind, self.placed.backend, self.admitted.usual
+        choice, backend, usual = self.services.choice, self.placed.backend, self.admitted.usual
         match how:
             case How.GOOD:
-                wind.answered(backend, usual, now - self.begun, self.placed.crowd, now)
+                choice.answered(backend, usual, now - self.begun, self.placed.crowd, now)
             case How.FULL:
-                wind.full(backend, now, usual.time)
+                choice.full(backend, now, usual.time)
             case How.ENDED:
                 self.services.on_ended(backend.id)
             case How.ABANDONED if self.sent.is_sent:
-                wind.abandoned(backend, self.begun, ratio / self.placed.crowd, now)
+                choice.abandoned(backend, self.begun, ratio / self.placed.crowd, now)
             case How.FAILED:
-                rest = wind.failed(backend, now)
+                rest = choice.failed(backend, now)
                 why = outcome.why if outcome is not None else ""
                 tell(405, backend=backend.id, service=backend.service, why=why, seconds=rest)
 
--- a/irisdeal/vane/applying.py
+++ b/irisdeal/proxy/config_apply.py
@@ -11,7 +11,7 @@
 from irisdeal.almanac.word import Stamp, Word
 from irisdeal.mast.events import tell
 from irisdeal.mast.process import Tasks
-from irisdeal.vane.table import Table
+from irisdeal.proxy.table import Table
 
 SLICE = 0.004  # s of work between two looks at requests; on 0.2 cores that is some 0.02 s
 PACE = 0.3  # s from one begin to the next: words that come faster are skipped; far below an `apply_ms` of 2.5 s
@@ -20,7 +20,7 @@
 Steps = Generator[None, None, Table | None]
 
 
-class Applying:
+class ConfigApply:
     """The words on their way into force, of which the newest is wanted."""
 
     def __init__(self, in_force: Callable[[Table], None], tasks: Tasks) -> None:
--- a/irisdeal/vane/door.py
+++ b/irisdeal/proxy/process.py
@@ -16,7 +16,7 @@
 from irisdeal.http1.metrics_server import MetricsServer
 from irisdeal.http1.phase import Phase
 from irisdeal.http1.server import HttpServer, Unanswered
-from irisdeal.load_balancing.backend_choice import Backend, Usual, Wind
+from irisdeal.load_balancing.backend_choice import Backend, Usual, BackendChoice
 from irisdeal.mast.early import Listening
 from irisdeal.mast.events import tell
 from irisdeal.mast.process import Tasks
@@ -24,23 +24,23 @@
 from irisdeal.permits.allowance import Limit
 from irisdeal.placement.load_reports import key
 from irisdeal.ratelimit.retry_budget import PROXY_SLACK, RetryBudgets
-from irisdeal.vane.admission import RequestPermit, TenantAdmission
-from irisdeal.vane.applying import Applying
-from irisdeal.vane.attempt_placement import AttemptPlacer
-from irisdeal.vane.attempts import (
+from irisdeal.proxy.admission import RequestPermit, TenantAdmission
+from irisdeal.proxy.config_apply import ConfigApply
+from irisdeal.proxy.attempt_placement import AttemptPlacer
+from irisdeal.proxy.attempts import (
     HOLD_SHARE,
     LEAST_LEFT_S,
     AdmittedRequest,
     AttemptServices,
     RequestAttempts,
 )
-from irisdeal.vane.backends import Pool
-from irisdeal.vane.drain_plan import DrainPlan
-from irisdeal.vane.metrics import ProxyMetrics
-from irisdeal.vane.refusal import Refused, client_left, leaving, over_quota
-from irisdeal.vane.registry_client import RegistryClient
-from irisdeal.vane.sources import Sources
-from irisdeal.vane.table import Route, Table
+from irisdeal.proxy.connection_pool import ConnectionPool
+from irisdeal.proxy.drain_plan import DrainPlan
+from irisdeal.proxy.metrics import ProxyMetrics
+from irisdeal.proxy.refusal import Refused, client_left, leaving, over_quota
+from irisdeal.proxy.registry_client import RegistryClient
+from irisdeal.proxy.sources import Sources
+from irisdeal.proxy.table import Route, Table
 
 MOST_WAIT = 60.0  # s, where a client tells no deadline
 FIRST_WAIT = 0.3  # s that a request at a door which has just started waits for the first configuration
@@ -51,7 +51,7 @@
 PROMISES = (429, 503)  # statuses that say that a request has not run
 
 
-class Door:
+class Proxy:
     """The proxy's process."""
 
     def __init__(self, settings: Settings, listening: Listening | None = None) -> None:
@@ -62,9 +62,9 @@
         self.table: Table | None = None
         self.has_table = asyncio.Event()
         self.tasks = Tasks()
-        self.applying = Applying(self._in_force, self.tasks)
+        self.config_apply = ConfigApply(self._in_force, self.tasks)
         self.sources = Sources(settings, self._on_word, self._on_life)
-        self.wind = Wind(self.chance)
+        self.choice = BackendChoice(self.chance)
         self.backends: dict[str, Backend] = {}
         self.services: dict[str, dict[str, Backend]] = {}
         self.given: dict[str, float] = {}  # the most time that a client gave of late, by route
@@ -76,9 +76,9 @@
         self.repeats = RetryBudgets(
             settings.bound("retry_ratio", 0.2), settings.bound("retry_window_s", 10.0), slack, self.loop.time()
         )
-        self.pool = Pool(self.loop, max(64, settings.limits.max_fds - BODY_LIMIT) // 2)
+        self.pool = ConnectionPool(self.loop, max(64, settings.limits.max_fds - BODY_LIMIT) // 2)
         self.placer = AttemptPlacer(
-            settings.zone, self.services, self.pool, self.wind, self.registries, self.admission, self.repeats
+            settings.zone, self.services, self.pool, self.choice, self.registries, self.admission, self.repeats
         )
         self.front = HttpServer(self.serve, self.loop, ends_at_eof=True)
         self.readiness = HttpServer(self._ready, self.loop)
@@ -93,7 +93,7 @@
             self.loop,
             self.tasks,
             self.pool,
-            self.wind,
+            self.choice,
             self.placer,
             self.registries,
             self.metrics,
@@ -152,7 +152,7 @@
     # News
 
     def _on_word(self, word: Word) -> None:
-        self.applying.take(word)
+        self.config_apply.take(word)
 
     def _in_force(self, table: Table) -> None:
         """Requests that come from now on run by this table."""
--- a/irisdeal/vane/registry_client.py
+++ b/irisdeal/proxy/registry_client.py
@@ -26,7 +26,7 @@
 from irisdeal.mast.events import tell
 from irisdeal.mast.settings import Settings
 from irisdeal.telegraph.link import Link
-from irisdeal.vane.sources import Sources, hash_of
+from irisdeal.proxy.sources import Sources, hash_of
 
 REPORT_S = 0.4  # for the answer to a report
 PLACE_S = 0.06  # for the answer to an ask for a place: some ways there and back
@@ -84,7 +84,7 @@
         if registry not in self.links:
             address = places.at(self.settings, registry, places.GAUGE)
             self.links[registry] = Link(
-                address, f"vane {self.settings.ip}", lambda kind, told: self._late(registry, kind, told)
+                address, f"proxy {self.settings.ip}", lambda kind, told: self._late(registry, kind, told)
             )
         return self.links[registry]
 
--- a/irisdeal/vane/sources.py
+++ b/irisdeal/proxy/sources.py
@@ -163,7 +163,7 @@
             was_left = ip is None or self._is_left(ip, self.loop.time())
             if ip is not None:
                 self.using.append(ip)
-                link = Link(places.at(self.settings, ip, places.GAUGE), f"vane {self.settings.ip}")
+                link = Link(places.at(self.settings, ip, places.GAUGE), f"proxy {self.settings.ip}")
                 try:
                     await self._ask(ip, link)
                 finally:
--- a/irisdeal/telegraph/calls.py
+++ b/irisdeal/telegraph/calls.py
@@ -116,7 +116,7 @@
         # Doors at registries
         Call(
             "news",
-            "vane",
+            "proxy",
             "gauge",
             Again.ANYONE,
             "what the door has, and the registry's life",
@@ -126,7 +126,7 @@
         ),
         Call(
             "lives",
-            "vane",
+            "proxy",
             "gauge",
             Again.ANYONE,
             "each life's id, state and count",
@@ -135,7 +135,7 @@
         ),
         Call(
             "count",
-            "vane",
+            "proxy",
             "gauge",
             Again.ANYONE,
             "the door and the interval's number; of what it holds, a number that rises",
@@ -144,7 +144,7 @@
         ),
         Call(
             "place",
-            "vane",
+            "proxy",
             "gauge",
             Again.NEVER,
             "-",
@@ -153,7 +153,7 @@
         ),
         Call(
             "wait",
-            "vane",
+            "proxy",
             "gauge",
             Again.NEVER,
             "-",
@@ -163,7 +163,7 @@
         ),
         Call(
             "ended",
-            "vane",
+            "proxy",
             "gauge",
             Again.ANYONE,
             "the place's number, which begins elsewhere in each life",
@@ -218,7 +218,7 @@
     Call(
         "a request",
         "client",
-        "vane",
+        "proxy",
         Again.UNRUN,
         "X-Irisdeal-Attempt-Id, one for each try",
         "the client's own rules: the door answers one connection's requests in their order",
@@ -226,7 +226,7 @@
     ),
     Call(
         "an attempt",
-        "vane",
+        "proxy",
         "backend",
         Again.UNRUN,
         "X-Irisdeal-Attempt-Id, with X-Irisdeal-Target-Backend the life",
@@ -262,12 +262,12 @@
     ),
     Call("GET /config/read", "operator", "gauge", Again.ANYONE, "-", _NOTHING, "the operator asks again"),
     Call("GET /status", "anyone", "gauge", Again.ANYONE, "-", _NOTHING, "-"),
-    Call("GET /readiness", "platform", "vane", Again.ANYONE, "-", _NOTHING, "two misses, and the door is out"),
+    Call("GET /readiness", "platform", "proxy", Again.ANYONE, "-", _NOTHING, "two misses, and the door is out"),
 )
 
 
 def name_of(peer: str) -> str:
-    """Who a peer is, whichever of its connections this is: `vane 10.1.0.3` of `vane 10.1.0.3#17`."""
+    """Who a peer is, whichever of its connections this is: `proxy 10.1.0.3` of `proxy 10.1.0.3#17`."""
     return peer.partition("#")[0]
 
 
--- a/tests/core_rig.py
+++ b/tests/core_rig.py
@@ -30,7 +30,7 @@
 from irisdeal.sim.world import START, World
 from irisdeal.telegraph.link import Link
 from irisdeal.telegraph.server import Server
-from irisdeal.vane.sources import Sources
+from irisdeal.proxy.sources import Sources
 
 HOLD = 1.0  # s, the real store's
 
--- a/tests/features/steps/place_steps.py
+++ b/tests/features/steps/place_steps.py
@@ -11,7 +11,7 @@
 from irisdeal.placement.attempt_end import How
 from irisdeal.placement.load_reports import TELL, Loads
 from irisdeal.placement.placer import Placer
-from irisdeal.load_balancing.backend_choice import Backend, Wind
+from irisdeal.load_balancing.backend_choice import Backend, BackendChoice
 
 WORK = 0.09  # s, mean
 
@@ -26,7 +26,7 @@
         self.loads = {zone: Loads() for zone in self.zones}
         self.doors = [(f"d{number}", self.zones[number % 4]) for number in range(doors)]
         self.lives = [(f"i{number}", self.zones[number % 4]) for number in range(37)]
-        self.winds = {door: Wind(self.chance) for door, _ in self.doors}
+        self.winds = {door: BackendChoice(self.chance) for door, _ in self.doors}
         self.views = {door: {id_: Backend(id_, "s", ("", 0), zone, int(zone != home), 2, 0.0)
                              for id_, zone in self.lives} for door, home in self.doors}
         for placer in self.placers.values():
--- a/tests/request_world.py
+++ b/tests/request_world.py
@@ -24,8 +24,8 @@
 from irisdeal.sim.net import Network, Way
 from irisdeal.sim.world import START, World
 from irisdeal.telegraph.server import LATER, Server
-from irisdeal.vane import backends
-from irisdeal.vane.door import Door
+from irisdeal.proxy import connection_pool
+from irisdeal.proxy.process import Proxy
 
 PROXY, BACKEND, REGISTRY = "10.1.0.3", "10.9.0.1", "10.1.0.4"
 FRONT = (PROXY, 80)
@@ -257,8 +257,8 @@
         self.requests: list[Sent] = []
         self.clients: list[Client] = []
         self.over = False
-        self.prepare: Callable[[Door], None] = lambda door: None
-        self.door: Door | None = None
+        self.prepare: Callable[[Proxy], None] = lambda door: None
+        self.door: Proxy | None = None
         self.ending: asyncio.Event | None = None
         self.proxy = self._machine("proxy")
         self.backend = self._machine("backend")
@@ -292,7 +292,7 @@
             node_name="d", role="proxy", ip=PROXY, zone="z", port_range=(7000, 7010), seed_peers=(),
             zones={"z": "r"}, region="r", bounds=BOUNDS,
             bind=Bind(front=f"{PROXY}:80", readiness=f"{PROXY}:81"))
-        self.door = door = Door(settings)
+        self.door = door = Proxy(settings)
         self.ending = asyncio.Event()
         door.sources.has_heard.set()
         door.admission.most_proxies, door.admission.has_reported, door.repeats.slack_from = 8, True, 0.0
@@ -343,7 +343,7 @@
         def has_bytes(number: int) -> bool:
             return self.net.has_bytes(self.proxy, number)
 
-        with mock.patch.object(backends, "has_bytes", has_bytes):
+        with mock.patch.object(connection_pool, "has_bytes", has_bytes):
             self.world.run(lambda: self.over, START + int(most_s * 1e6))
         errors = [*self.proxy.errors, *self.backend.errors, *self.client.errors]
         assert not errors, errors
@@ -409,7 +409,7 @@
             if sent.answered_at is not None or sent.left_at is not None or not sent.is_whole:
                 continue
             if self.runs_of(sent):
-                found.append(f"{sent.attempt_id} of {sent.work_ms} ms, sent at {sent.at:.3f}, was cut amid work")
+                found.append(f"{sent.attempt_id} of {sent.work_ms} ms, sent at {sent.at:.3f}, was cut")
             elif sent.closed_at is None or sent.closed_at - sent.at > LOSS_SLACK_S:
                 found.append(f"{sent.attempt_id} sent at {sent.at:.3f} was cut at {sent.closed_at}")
         return found
--- a/tests/test_call_lifetime.py
+++ b/tests/test_call_lifetime.py
@@ -1,4 +1,4 @@
-"""A call between processes ends with who asked, where it is worked on for him alone; a server ends by a drain."""
+"""A call between processes ends with who asked, where it is for him alone; a server ends by a drain."""
 
 from __future__ import annotations
 
@@ -181,7 +181,7 @@
         tasks["told again"] = asyncio.ensure_future(link.call("told", "told again", 5.0))
         await asyncio.wait(tasks.values())
         await asyncio.sleep(0.5)
-        assert link.calls is not None and not link.calls.open, "the connection is closed behind the last answer"
+        assert link.calls is not None and not link.calls.open, "closed behind the last answer"
         return {kind: task.result() for kind, task in tasks.items()}, refused, drained[0]
 
     ended, refused, cut = two.play(scenario())
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -34,12 +34,12 @@
 from irisdeal.telegraph.frames import ONE_WAY
 from irisdeal.telegraph.link import Link
 from irisdeal.telegraph.server import LATER, Server
-from irisdeal.vane.registry_client import RegistryClient
-from irisdeal.vane.sources import Sources
+from irisdeal.proxy.registry_client import RegistryClient
+from irisdeal.proxy.sources import Sources
 
 ROOT = Path(__file__).parent.parent
 HOST, PORT = "10.0.0.2", 7000
-PROGRAMS = ("almanac", "gauge", "vane")
+PROGRAMS = ("almanac", "gauge", "proxy")
 WAITING: Any = object()
 
 
@@ -59,7 +59,7 @@
         return Machine(self.world, self.net, HOST, Core(), Costs())
 
     def link(self) -> Link:
-        return Link((HOST, PORT), "vane 10.0.0.1", lambda kind, body: self.late.append((kind, body)))
+        return Link((HOST, PORT), "proxy 10.0.0.1", lambda kind, body: self.late.append((kind, body)))
 
     def serve(self, server: Callable[[], Server], host: Machine | None = None) -> None:
         async def run() -> int:
@@ -283,7 +283,7 @@
     return bytes(heard)
 
 
-HELLO = encode([0, "hello", "vane x"])
+HELLO = encode([0, "hello", "proxy x"])
 
 
 @pytest.mark.parametrize(("frames", "ran"), [
@@ -368,7 +368,7 @@
         return await asked
 
     assert isinstance(two.play(scenario()), Failure)
-    assert lost == ["vane 10.0.0.1#1", "vane 10.0.0.1#1"]
+    assert lost == ["proxy 10.0.0.1#1", "proxy 10.0.0.1#1"]
 
 
 def test_a_word_over_no_connection_or_a_hung_one_is_said_to_be_lost() -> None:
@@ -482,13 +482,13 @@
 
 def test_the_end_of_one_connection_frees_what_was_given_over_it_alone() -> None:
     there = Reception()
-    there.place("vane d#1")
-    there.place("vane d#3")
-    there.places.lost("vane d#2")  # it heard news there
+    there.place("proxy d#1")
+    there.place("proxy d#3")
+    there.places.lost("proxy d#2")  # it heard news there
     assert there.out() == 2
-    there.places.lost("vane d#1")  # its former one, noticed late
+    there.places.lost("proxy d#1")  # its former one, noticed late
     assert there.out() == 1
-    there.places.lost("vane d#3")
+    there.places.lost("proxy d#3")
     assert there.out() == 0 and not there.places.placer.doors
 
 
@@ -501,33 +501,33 @@
     there.now = 99.0
     there.desk.authority.hear(listed, there.now)
     report = IntervalReport(1.0, 0, {"t": Usage(5.0)}, HeldReport(7, 1, 0, {}, {"t": 3}))
-    granted = quotas.report("vane d#3", report).reserve.changes["t"]
-    there.places.lost("vane d#3")
+    granted = quotas.report("proxy d#3", report).reserve.changes["t"]
+    there.places.lost("proxy d#3")
     assert granted > 0 and quotas.issuer.outstanding.total("t") == granted
     assert quotas.counter.reports
 
 
 def test_an_end_told_twice_or_over_another_connection_frees_one_place_and_one_door_frees_no_others() -> None:
     there = Reception()
-    number, other = there.place("vane d#1"), there.place("vane e#2")
-    there.end("vane e#2", number)
+    number, other = there.place("proxy d#1"), there.place("proxy e#2")
+    there.end("proxy e#2", number)
     assert there.out() == 2
-    there.end("vane d#3", number)
-    there.end("vane d#3", number)
-    there.end("vane d#1", number)
+    there.end("proxy d#3", number)
+    there.end("proxy d#3", number)
+    there.end("proxy d#1", number)
     assert there.out() == 1
-    there.places.lost("vane d#1")
+    there.places.lost("proxy d#1")
     assert there.out() == 1 and set(there.places.placer.places) == {other}
 
 
 def test_an_end_told_to_a_later_life_of_the_registry_meets_no_place() -> None:
     for _ in range(20):
         before, after = Reception(), Reception()
-        numbers = [before.place("vane d#1") for _ in range(8)]
+        numbers = [before.place("proxy d#1") for _ in range(8)]
         for _ in range(8):
-            after.place("vane d#1")
+            after.place("proxy d#1")
         for number in numbers:
-            after.end("vane d#1", number)
+            after.end("proxy d#1", number)
         assert after.out() == 8
 
 
@@ -545,13 +545,13 @@
     two.serve(lambda: Server(handle, quick))
 
     async def scenario() -> Any:
-        settings = Settings(node_name="d", role="vane", ip="10.0.0.1", zone="z", port_range=(6998, 7010),
+        settings = Settings(node_name="d", role="proxy", ip="10.0.0.1", zone="z", port_range=(6998, 7010),
                             seed_peers=(f"{HOST}:1",))
         sources = Sources(settings, lambda word: None, lambda life, silent: None)
         sources.has_heard.set()
         sources.answering.add(HOST)
         client = RegistryClient(settings, sources)
-        client.links[HOST] = Link((HOST, PORT), "vane 10.0.0.1", client._link(HOST).on_late)
+        client.links[HOST] = Link((HOST, PORT), "proxy 10.0.0.1", client._link(HOST).on_late)
         placement = await client.place(PlaceRequest("z", "s", 0.1, [], 0, 0.0, 1.0), 0.0)
         await asyncio.sleep(0.2)
         return placement, client.silent_until
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -31,7 +31,7 @@
 from irisdeal.telegraph.frames import encode
 from irisdeal.telegraph.link import Link
 from irisdeal.telegraph.server import Server
-from irisdeal.vane.sources import Sources
+from irisdeal.proxy.sources import Sources
 
 PATIENCE = 5.0  # s: only a test that hangs meets it
 IPS = [f"127.{100 + os.getpid() % 100}.{os.getpid() >> 8 & 255}.{at}" for at in (1, 2)]
@@ -66,7 +66,7 @@
 
 
 def settings() -> Settings:
-    return Settings("edge-1", "vane", "127.99.0.1", "zone0", PORTS, tuple(f"{ip}:8783" for ip in IPS))
+    return Settings("edge-1", "proxy", "127.99.0.1", "zone0", PORTS, tuple(f"{ip}:8783" for ip in IPS))
 
 
 async def until(true: Callable[[], bool]) -> None:
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -13,7 +13,7 @@
 from irisdeal.http1.messages import Answer, Request
 from irisdeal.mast.metrics import Metrics, MetricsAddress, parse_address
 from irisdeal.mast.settings import Settings, read
-from irisdeal.vane.metrics import ProxyMetrics
+from irisdeal.proxy.metrics import ProxyMetrics
 
 GIVEN = {
     "node_name": "n", "role": "r", "ip": "10.0.0.1", "zone": "z",
--- a/tests/test_vane_attempts.py
+++ b/tests/test_proxy_attempts.py
@@ -17,12 +17,12 @@
 from irisdeal.sim.machine import Core, Costs, Machine
 from irisdeal.sim.net import Network
 from irisdeal.sim.world import START, World
-from irisdeal.vane.backend_message import BackendRequest
-from irisdeal.vane.backends import End, Outcome
-from irisdeal.vane.door import Door
+from irisdeal.proxy.backend_message import BackendRequest
+from irisdeal.proxy.outcome import End, Outcome
+from irisdeal.proxy.process import Proxy
 
 SETTINGS = Settings(
-    node_name="d", role="vane", ip="10.1.0.3", zone="z", port_range=(7340, 7355), seed_peers=("10.1.0.4:1",),
+    node_name="d", role="proxy", ip="10.1.0.3", zone="z", port_range=(7340, 7355), seed_peers=("10.1.0.4:1",),
     zones={"z": "r"}, region="r", bounds=("retry_slack=56",),
     bind=Bind(front="10.1.0.3:80", readiness="10.1.0.3:81"))
 GOOD = Outcome(End.ANSWER, "", 200, [(b"X-Irisdeal-Backend-Seal", b"s")], b"body")
@@ -47,10 +47,10 @@
         self.sent: list[tuple[str, float]] = []
         self.messages: list[bytes] = []
         self.left = False
-        self.prepare: Callable[[Door], None] = lambda door: None
+        self.prepare: Callable[[Proxy], None] = lambda door: None
 
-    def door(self) -> Door:
-        door = Door(SETTINGS)
+    def door(self) -> Proxy:
+        door = Proxy(SETTINGS)
         door.sources.has_heard.set()
         door.admission.most_proxies, door.repeats.slack_from = 8, 0.0  # it runs since long
         rule = {"name": "r", "kind": self.kind, "target_ms": 400, "pattern": {"path_prefix": "/a/"},
@@ -80,7 +80,7 @@
     def ask(self, **headers: str) -> Answer:
         """The answer to one request; virtual time goes on for 3 s behind it."""
         answers: list[Answer] = []
-        self.made: Door | None = None
+        self.made: Proxy | None = None
 
         async def run() -> int:
             self.made = door = self.door()
@@ -178,7 +178,7 @@
 def test_no_second_where_all_are_busy() -> None:
     play = Play("idempotent", [(1.4, GOOD)])
 
-    def busy(door: Door) -> None:
+    def busy(door: Proxy) -> None:
         for backend in door.backends.values():
             backend.others = 2.0
 
@@ -230,7 +230,7 @@
 def test_a_draining_life_gets_nothing_and_a_late_word_does_not_bring_it_back() -> None:
     play = Play("mutating", [(0.01, GOOD)])
 
-    def drain(door: Door) -> None:
+    def drain(door: Proxy) -> None:
         for number in range(3):
             if number != 1:
                 for state in (State.DRAINING, State.READY):
--- a/tests/test_vane_backends.py
+++ b/tests/test_proxy_backends.py
@@ -7,9 +7,11 @@
 
 import pytest
 
-from irisdeal.vane import backends
-from irisdeal.vane.backend_message import BackendRequest
-from irisdeal.vane.backends import Connection, End, Outcome, Pool
+from irisdeal.proxy import connection_pool
+from irisdeal.proxy.backend_message import BackendRequest
+from irisdeal.proxy.backend_connection import BackendConnection
+from irisdeal.proxy.connection_pool import ConnectionPool
+from irisdeal.proxy.outcome import End, Outcome
 from irisdeal.load_balancing.backend_choice import Backend
 
 ID, SEAL = b"X-Irisdeal-Attempt-Id: a1\r\n", b"X-Irisdeal-Backend-Seal: s\r\n"
@@ -54,8 +56,9 @@
     """The outcome of one request whose connection brings these pieces; whether it is done with."""
 
     async def play() -> tuple[Outcome | None, bool]:
-        pool = Pool(asyncio.get_running_loop(), 8)
-        connection, wire = Connection(pool, Backend("i", "s", ("127.0.0.1", 1), "z", 0, 2, 0.0)), Wire()
+        pool = ConnectionPool(asyncio.get_running_loop(), 8)
+        connection = BackendConnection(pool, Backend("i", "s", ("127.0.0.1", 1), "z", 0, 2, 0.0))
+        wire = Wire()
         connection.connection_made(wire)  # type: ignore[arg-type]
         done = connection.start(asked(b"a1", is_mutating=False))
         for piece in pieces:
@@ -124,8 +127,8 @@
     """The outcome of another request on a connection that was kept."""
 
     async def play() -> Outcome:
-        pool = Pool(asyncio.get_running_loop(), 8)
-        connection = Connection(pool, Backend("i", "s", ("127.0.0.1", 1), "z", 0, 2, 0.0))
+        pool = ConnectionPool(asyncio.get_running_loop(), 8)
+        connection = BackendConnection(pool, Backend("i", "s", ("127.0.0.1", 1), "z", 0, 2, 0.0))
         connection.connection_made(Wire())  # type: ignore[arg-type]
         connection.start(asked(b"a1"))
         connection.data_received(first)
@@ -167,12 +170,13 @@
 
     `left`, `send_left`: s of its time, and until when it may be sent.
     """
-    monkeypatch.setattr(backends, "has_bytes", lambda _: False)
+    monkeypatch.setattr(connection_pool, "has_bytes", lambda _: False)
 
     async def play() -> tuple[Outcome, Wire]:
         loop = asyncio.get_running_loop()
-        pool, backend, wire = Pool(loop, 8), Backend("i", "s", ("127.0.0.1", 1), "z", 0, 2, 0.0), Wire()
-        connection = Connection(pool, backend)
+        pool, wire = ConnectionPool(loop, 8), Wire()
+        backend = Backend("i", "s", ("127.0.0.1", 1), "z", 0, 2, 0.0)
+        connection = BackendConnection(pool, backend)
         connection.connection_made(wire)  # type: ignore[arg-type]
         connection.start(asked(b"a1"))
         connection.data_received(FULL)
@@ -205,12 +209,12 @@
 
 
 def test_what_may_run_once_gets_no_connection_that_rested_long(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(backends, "has_bytes", lambda _: False)
+    monkeypatch.setattr(connection_pool, "has_bytes", lambda _: False)
 
     async def play() -> None:
         loop = asyncio.get_running_loop()
-        pool, backend = Pool(loop, 8), Backend("i", "s", ("127.0.0.1", 1), "z", 0, 2, 0.0)
-        connection = Connection(pool, backend)
+        pool, backend = ConnectionPool(loop, 8), Backend("i", "s", ("127.0.0.1", 1), "z", 0, 2, 0.0)
+        connection = BackendConnection(pool, backend)
         connection.connection_made(Wire())  # type: ignore[arg-type]
         pool._rest(connection)
         connection.idle_since = loop.time() - 0.8 * connection.idle_most
--- a/tests/test_quota_processes.py
+++ b/tests/test_quota_processes.py
@@ -169,8 +169,8 @@
     await asyncio.sleep(0.3)
     processes.start("gauge", CORE)
     await asyncio.sleep(1.5)
-    processes.kill("vane", DOORS[0])
-    processes.start("vane", DOORS[0])
+    processes.kill("proxy", DOORS[0])
+    processes.start("proxy", DOORS[0])
     third.shut(False, True)
     await asyncio.sleep(1.5)
     third.shut(False, False)
@@ -195,7 +195,7 @@
             assert time.monotonic() < up_by, "the store takes no order"
             await asyncio.sleep(0.1)
         for door in DOORS:
-            processes.start("vane", door)
+            processes.start("proxy", door)
         headers = {"Authorization": "Bearer k", "X-Irisdeal-Attempt-Id": "1"}
         for door in DOORS:
             while await call(door, FRONT, "GET /a/x", headers=headers) != 200:
--- a/tests/test_request_drain.py
+++ b/tests/test_request_drain.py
@@ -8,7 +8,7 @@
 import pytest
 
 from irisdeal.http1.connection import LINGER_S
-from irisdeal.vane.drain_plan import MOST_QUIET_S, DrainPlan
+from irisdeal.proxy.drain_plan import MOST_QUIET_S, DrainPlan
 from tests.request_world import GRACE_S, Client, RequestWorld
 
 KEPT = 200  # connections
--- a/tests/test_request_lifetime.py
+++ b/tests/test_request_lifetime.py
@@ -13,11 +13,11 @@
 from irisdeal.http1.phase import Phase
 from irisdeal.http1.server import HttpServer
 from irisdeal.permits.allowance import Limit
-from irisdeal.vane.attempts import Attempt, RequestAttempts
-from irisdeal.vane.backends import Outcome
-from irisdeal.vane.door import Door
-from irisdeal.vane.drain_plan import DrainPlan
-from irisdeal.vane.registry_client import RegistryClient
+from irisdeal.proxy.attempts import Attempt, RequestAttempts
+from irisdeal.proxy.outcome import Outcome
+from irisdeal.proxy.process import Proxy
+from irisdeal.proxy.drain_plan import DrainPlan
+from irisdeal.proxy.registry_client import RegistryClient
 from tests.request_runs import RandomRun
 from tests.request_world import Client, Leaving, RequestWorld
 
@@ -49,7 +49,7 @@
 # In each phase, at random moments
 
 
-def few_slots(door: Door) -> None:
+def few_slots(door: Proxy) -> None:
     """One request of the tenant at a time."""
     door.gate.slots = 1
 
@@ -102,7 +102,7 @@
         assert not any(backend.out for backend in door.backends.values())
         assert world.registry is None or not world.registry.open
 
-    def begun(door: Door) -> set[Request]:
+    def begun(door: Proxy) -> set[Request]:
         return {request for request, attempts in door.attempts.items()
                 if any(attempt.must_go_on for attempt in attempts.running)}
 
--- a/tests/test_sources.py
+++ b/tests/test_sources.py
@@ -24,8 +24,8 @@
 from irisdeal.sim.machine import Core, Costs, Machine
 from irisdeal.sim.net import Network
 from irisdeal.sim.world import World
-from irisdeal.vane import applying, sources
-from irisdeal.vane.sources import ENOUGH, Sources
+from irisdeal.proxy import config_apply, sources
+from irisdeal.proxy.sources import ENOUGH, Sources
 from tests.core_rig import CoreRig, DoorPost, settings_of
 
 DEPLOYMENTS = {  # s: contact_ms, apply_ms, revert_slack_ms
@@ -52,7 +52,7 @@
 # To another one, where all that was used was of no use.
 TURN = sources.MOST_PAUSE + 3 * WAY
 # A word that is here comes into force: not too soon after the one before, and after one that was given up.
-TAKEN = (1 + applying.MOST_DROPPED) * applying.PACE
+TAKEN = (1 + config_apply.MOST_DROPPED) * config_apply.PACE
 
 
 @pytest.mark.parametrize("name", DEPLOYMENTS)
--- a/tests/test_system_rules.py
+++ b/tests/test_system_rules.py
@@ -19,7 +19,7 @@
 from irisdeal.gauge.registry import Life, Registry, State
 from irisdeal.mast import settings
 from irisdeal.telegraph.frames import BadFrame, Reader, encode
-from irisdeal.vane.table import Table
+from irisdeal.proxy.table import Table
 
 
 def configuration(**changes: Any) -> dict[str, Any]:
@@ -185,7 +185,7 @@
 
 def test_settings_say_which_key_is_wrong() -> None:
     good: dict[str, Any] = {
-        "node_name": "n", "role": "vane", "ip": "10.1.0.3", "zone": "z", "port_range": [7340, 7355],
+        "node_name": "n", "role": "proxy", "ip": "10.1.0.3", "zone": "z", "port_range": [7340, 7355],
         "seed_peers": ["10.1.0.33:8783"], "bounds": "grace_s=6,retry_ratio=0.2", "unknown": 1}
     made = settings.read(good).unwrap()
     assert made.bound("grace_s", 0) == 6 and made.bound("retry_ratio", 0) == 0.2
--- a/tests/test_table.py
+++ b/tests/test_table.py
@@ -21,9 +21,9 @@
 from irisdeal.sim.machine import Core, Costs, Machine
 from irisdeal.sim.net import Network
 from irisdeal.sim.world import START, World
-from irisdeal.vane import applying
-from irisdeal.vane.applying import PACE, Applying
-from irisdeal.vane.table import Route, Table
+from irisdeal.proxy import config_apply
+from irisdeal.proxy.config_apply import PACE, ConfigApply
+from irisdeal.proxy.table import Route, Table
 from tests.words import change, configuration, route
 
 
@@ -169,17 +169,20 @@
                 yield
             return (yield from reading(body, before))
 
-        monkeypatch.setattr(applying, "reading", slow)
+        monkeypatch.setattr(config_apply, "reading", slow)
 
-    def run(self, act: Callable[[Applying], Awaitable[None]]) -> None:
+    def run(self, act: Callable[[ConfigApply], Awaitable[None]]) -> None:
         world = World(1)
         machine = Machine(world, Network(world), "door", Core(), Costs())
         done: list[int] = []
 
         async def main() -> int:
             self.clock = Clock()
-            self.monkeypatch.setattr(applying, "asyncio", self.clock)
-            made = Applying(lambda table: self.in_force.append((machine.time(), table.generation)), Tasks())
+            self.monkeypatch.setattr(config_apply, "asyncio", self.clock)
+            def note(table: Table) -> None:
+                self.in_force.append((machine.time(), table.generation))
+
+            made = ConfigApply(note, Tasks())
             await act(made)
             done.append(1)
             return 0
@@ -192,7 +195,7 @@
 def test_a_short_word_is_in_force_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
     play = Play(monkeypatch)
 
-    async def act(made: Applying) -> None:
+    async def act(made: ConfigApply) -> None:
         made.take(words(1)[0])
         assert [generation for _, generation in play.in_force] == ["r1"]
 
@@ -204,7 +207,7 @@
 ) -> None:
     play = Play(monkeypatch)
 
-    async def act(made: Applying) -> None:
+    async def act(made: ConfigApply) -> None:
         for word in words(160):
             made.take(word)
             await asyncio.sleep(22 / 160)
@@ -219,7 +222,7 @@
 def test_an_older_word_is_never_in_force_after_a_newer_one(monkeypatch: pytest.MonkeyPatch) -> None:
     play = Play(monkeypatch)
 
-    async def act(made: Applying) -> None:
+    async def act(made: ConfigApply) -> None:
         one, two, three = words(3)
         for word in (two, one, three, two, one):
             made.take(word)
@@ -234,7 +237,7 @@
     play = Play(monkeypatch, steps=50, cost=0.005)
     turns: list[int] = []
 
-    async def act(made: Applying) -> None:
+    async def act(made: ConfigApply) -> None:
         made.take(words(1)[0])
         while not play.in_force:
             turns.append(1)
@@ -250,7 +253,7 @@
     """Words come faster than they can be taken in: nothing would be done if each dropped the one before."""
     play = Play(monkeypatch, steps=100, cost=0.005)
 
-    async def act(made: Applying) -> None:
+    async def act(made: ConfigApply) -> None:
         for word in words(40):
             made.take(word)
             await asyncio.sleep(0.3)
@@ -264,7 +267,7 @@
 def test_what_cannot_be_read_leaves_what_is_in_force(monkeypatch: pytest.MonkeyPatch) -> None:
     play = Play(monkeypatch)
 
-    async def act(made: Applying) -> None:
+    async def act(made: ConfigApply) -> None:
         made.take(words(1)[0])
         made.take(Word.of("r2", b"{"))
         await asyncio.sleep(1)
--- a/tests/test_wire_judge.py
+++ b/tests/test_wire_judge.py
@@ -25,9 +25,11 @@
 from irisdeal.telegraph import link as telegraph
 from irisdeal.telegraph.link import Link
 from irisdeal.telegraph.server import Server
-from irisdeal.vane import backends
-from irisdeal.vane.backends import Connection, End, Outcome, Pool
-from irisdeal.vane.door import Door
+from irisdeal.proxy import backend_connection, connection_pool
+from irisdeal.proxy.backend_connection import BackendConnection
+from irisdeal.proxy.connection_pool import ConnectionPool
+from irisdeal.proxy.outcome import End, Outcome
+from irisdeal.proxy.process import Proxy
 
 DOOR = ("10.1.0.3", 80)
 LENGTH = 6.0  # s in which clients ask
@@ -38,7 +40,7 @@
     "promise", "promise twice", "500", "503", "reset", "run and reset", "cut", "silent", "slow", "twice",
     "twice later", "of another", "no id", "close", "torn", "garbage")
 SETTINGS = Settings(
-    node_name="d", role="vane", ip=DOOR[0], zone="z", port_range=(7340, 7355), seed_peers=("10.1.0.4:1",),
+    node_name="d", role="proxy", ip=DOOR[0], zone="z", port_range=(7340, 7355), seed_peers=("10.1.0.4:1",),
     zones={"z": "r"}, region="r", bounds=("retry_slack=1000",),
     bind=Bind(front="10.1.0.3:80", readiness="10.1.0.3:81"))
 
@@ -240,7 +242,7 @@
         self.chance = random.Random(seed)
         self.judge, self.asked, self.over = Judge(), 0, False
         self.door = Machine(self.world, self.net, "door", Core(), Costs())
-        monkeypatch.setattr(backends, "has_bytes", lambda file: self.net.has_bytes(self.door, file))
+        monkeypatch.setattr(connection_pool, "has_bytes", lambda file: self.net.has_bytes(self.door, file))
 
     def now(self) -> float:
         return (self.world.now - START) / 1e6
@@ -261,8 +263,8 @@
         return machine
 
     async def _door(self) -> int:
-        door = Door(SETTINGS)
-        door.chance = door.wind.chance = self.chance
+        door = Proxy(SETTINGS)
+        door.chance = door.choice.chance = self.chance
         door.sources.has_heard.set()
         rules = [{"name": kind, "kind": name, "target_ms": 400, "pattern": {"path_prefix": f"/{kind}/"},
                   "effect": {"service": "s", "timeout_ms": 2000, "max_tries": 3}}
@@ -329,39 +331,39 @@
 def _planted(bug: str, monkeypatch: pytest.MonkeyPatch) -> None:
     match bug:
         case "matched by order alone":
-            monkeypatch.setattr(Connection, "_answered", _any_answer)
+            monkeypatch.setattr(BackendConnection, "_answered", _any_answer)
         case "used again after a silence":
-            monkeypatch.setattr(Connection, "give_up", lambda self: setattr(self, "done", None))
-            monkeypatch.setattr(Connection, "data_received", _whoever_waits)
-            monkeypatch.setattr(Connection, "_answered", _any_answer)
+            monkeypatch.setattr(BackendConnection, "give_up", lambda self: setattr(self, "done", None))
+            monkeypatch.setattr(BackendConnection, "data_received", _whoever_waits)
+            monkeypatch.setattr(BackendConnection, "_answered", _any_answer)
         case "a reset is taken for unsent":
-            lost = Connection.connection_lost
+            lost = BackendConnection.connection_lost
 
-            def unsent(self: Connection, exc: Exception | None) -> None:
+            def unsent(self: BackendConnection, exc: Exception | None) -> None:
                 done, self.done = self.done, None
                 if done is not None and not done.done():
                     done.set_result(Outcome(End.UNSENT, "reset"))
                 lost(self, exc)
 
-            monkeypatch.setattr(Connection, "connection_lost", unsent)
+            monkeypatch.setattr(BackendConnection, "connection_lost", unsent)
         case "a silence is taken for unsent":
-            send = Pool.send
+            send = ConnectionPool.send
 
-            async def again(self: Pool, *given: Any) -> Outcome:
+            async def again(self: ConnectionPool, *given: Any) -> Outcome:
                 outcome = await send(self, *given)
                 return Outcome(End.UNSENT, "silence") if outcome.late else outcome
 
-            monkeypatch.setattr(Pool, "send", again)
+            monkeypatch.setattr(ConnectionPool, "send", again)
         case "its own 503 is passed on":
-            monkeypatch.setattr(backends, "PROMISES", ())
+            monkeypatch.setattr(backend_connection, "PROMISES", ())
 
 
-def _any_answer(self: Connection, spoilt: bool) -> None:
+def _any_answer(self: BackendConnection, spoilt: bool) -> None:
     headers = [field for field in self.headers if field[0].lower() != b"content-length"]
     self._finish(Outcome(End.ANSWER, "", self.status, headers, b"".join(self.parts)), True)
 
 
-def _whoever_waits(self: Connection, data: bytes) -> None:
+def _whoever_waits(self: BackendConnection, data: bytes) -> None:
     self.parser.feed_data(data)
     if self.whole:
         self._answered(False)
@@ -455,7 +457,7 @@
             self.breaches.append(f"{number} ran and was told as never sent")
 
     async def talk(self) -> int:
-        link = Link(("10.0.0.2", 7000), "vane 1", lambda kind, body: self.late.append(body[1]))
+        link = Link(("10.0.0.2", 7000), "proxy 1", lambda kind, body: self.late.append(body[1]))
         await asyncio.gather(*(self.one(link, number) for number in range(400)))
         await asyncio.sleep(5.0)
         self.over = True
