--- a/benchmarks/departures.py
+++ b/benchmarks/departures.py
@@ -30,6 +30,7 @@
 GRACE_S = 6.0  # from SIGTERM to SIGKILL
 UP_BY_S = 15.0  # for a gateway to serve its first request
 PATIENCE_S = 9.0  # that a client waits for an answer
+WARM = 40  # requests before a SIGTERM: a proxy that has answered few takes less after it
 READING_S = 5.0  # that a slow reader takes for its answer
 BEAT_S = 0.4  # between two heartbeats of the backend
 SETTINGS = """
@@ -374,7 +375,7 @@
     clients: list[Client] = []
     asking: list[asyncio.Task[End]] = []
     work = works()
-    warm = [Client(f"warm-{number}", next(work)) for number in range(9)]
+    warm = [Client(f"warm-{number}", next(work)) for number in range(WARM)]
     await asyncio.gather(*(client.ask() for client in warm))
     signalled = time.monotonic()
     processes.terminate("proxy")
--- a/tests/test_proxy_attempts.py
+++ b/tests/test_proxy_attempts.py
@@ -20,6 +20,7 @@
 from irisdeal.proxy.backend_message import BackendRequest
 from irisdeal.proxy.outcome import End, Outcome
 from irisdeal.proxy.process import Proxy
+from irisdeal.proxy.table import Route
 
 SETTINGS = Settings(
     node_name="d", role="proxy", ip="10.1.0.3", zone="z", port_range=(7340, 7355), seed_peers=("10.1.0.4:1",),
@@ -227,6 +228,23 @@
     assert play.ask(**headers).status == status and not play.sent
 
 
+def test_each_part_of_a_weighted_route_gets_its_share_of_any_hundred_requests() -> None:
+    play = Play("idempotent", [(0.01, GOOD)])
+    drawn: list[str] = []
+
+    def draw(door: Proxy) -> None:
+        shares = (("small", 10.0), ("middle", 40.0), ("large", 100.0))
+        route = Route("weighted", b"/a/", False, 0.4, 2.0, 2, 0, False, shares, 100.0)
+        drawn.extend(door._service(route) for _ in range(2000))
+
+    play.prepare = draw
+    assert play.ask().status == 200
+    for first in range(0, 1900, 7):
+        part = drawn[first:first + 100]
+        for name, share in (("small", 10), ("middle", 30), ("large", 60)):
+            assert abs(part.count(name) - share) <= 3, (first, name)
+
+
 def test_a_draining_life_gets_nothing_and_a_late_word_does_not_bring_it_back() -> None:
     play = Play("mutating", [(0.01, GOOD)])
 
