--- a/benchmarks/departures.py
+++ b/benchmarks/departures.py
@@ -104,7 +104,7 @@
         return any(run.attempt_id == attempt_id for run in self.runs)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             while True:
                 _, fields = await read_head(reader)
                 await reader.readexactly(int(fields.get("content-length", "0")))
--- a/irisdeal/http1/connection.py
+++ b/irisdeal/http1/connection.py
@@ -133,6 +133,7 @@
             self.task.add_done_callback(partial(self._served, request))
 
     def _served(self, request: Request, task: asyncio.Task[Answer]) -> None:
+        del self.server.serving[task]
         self.current, self.task = None, None
         if not task.cancelled():
             answer = OWN_FAULT if task.exception() is not None else task.result()
--- a/irisdeal/http1/server.py
+++ b/irisdeal/http1/server.py
@@ -61,12 +61,8 @@
         """Begin to serve a request."""
         task = self.tasks.start(self.handler(request))
         self.serving[task] = request
-        task.add_done_callback(self._served)
         return task
 
-    def _served(self, task: asyncio.Task[Answer]) -> None:
-        del self.serving[task]
-
     def _look(self) -> None:
         now = self.loop.time()
         for connection in list(self.connections):
--- a/irisdeal/mast/process.py
+++ b/irisdeal/mast/process.py
@@ -37,7 +37,7 @@
 
     def start(self, work: Coroutine[Any, Any, T]) -> asyncio.Task[T]:
         """Run this in a task of its own; a failure is told as event 105."""
-        task = asyncio.ensure_future(work)
+        task = asyncio.create_task(work)
         self.running.add(task)
         task.add_done_callback(self._ended)
         return task
--- a/irisdeal/proxy/attempts.py
+++ b/irisdeal/proxy/attempts.py
@@ -41,7 +41,7 @@
 AGAIN_S = 0.1  # after which a client whose request has not run may come back
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class AdmittedRequest:
     """A request that may run. `until`: s on the loop's clock, when it has a final answer."""
 
@@ -74,8 +74,15 @@
 class Attempt:
     """One attempt at one backend, in a task of its own."""
 
-    def __init__(self, services: AttemptServices, admitted: AdmittedRequest, placed: Placed) -> None:
-        self.services, self.admitted, self.placed = services, admitted, placed
+    def __init__(
+        self,
+        services: AttemptServices,
+        admitted: AdmittedRequest,
+        placed: Placed,
+        on_ended: Callable[[Attempt], None],
+    ) -> None:
+        """`on_ended`: hears of its end, however it comes."""
+        self.services, self.admitted, self.placed, self.on_ended = services, admitted, placed, on_ended
         self.begun = services.loop.time()
         permit, request = admitted.permit, admitted.request
         self.sent = BackendRequest(
@@ -116,6 +123,7 @@
         if self.admitted.permit is not None and self._has_not_run(outcome):
             self.admitted.permit.give_back(self.sent.send_by)
         self._learn(how, outcome, ratio, now)
+        self.on_ended(self)
 
     def _has_not_run(self, outcome: Outcome | None) -> bool:
         return not self.sent.is_sent if outcome is None else outcome.end in (End.UNSENT, End.PROMISE)
@@ -156,6 +164,8 @@
         self.services, self.admitted = services, admitted
         self.loop = services.loop
         self.running: list[Attempt] = []
+        self.ended: list[Attempt] = []  # of these, those whose ends were not taken yet
+        self.waiter: asyncio.Future[None] | None = None  # of us, while we wait for an end
         self.tried: set[str] = set()
         self.unsent = self.sent = 0  # attempts that ended
         self.may_have_run = self.is_promised = False
@@ -242,7 +252,7 @@
             self.services.placer.give_back(placed)
             return
         self.tried.add(placed.backend.id)
-        self.running.append(Attempt(self.services, admitted, placed))
+        self.running.append(Attempt(self.services, admitted, placed, self._on_ended))
         request.phase = Phase.BACKEND
 
     def _needs(self) -> AttemptNeeds:
@@ -266,17 +276,37 @@
 
     async def _next_answer(self) -> Answer | None:
         """Wait until an attempt ends, or a second one is due; the answer, where there is one that counts."""
-        tasks = {attempt.task: attempt for attempt in self.running}
-        done, _ = await asyncio.wait(tasks, timeout=self._patience(), return_when=asyncio.FIRST_COMPLETED)
-        for task in done:
-            self.running.remove(tasks[task])
-            if task.cancelled():
-                self.may_have_run |= tasks[task].sent.is_sent
+        if not self.ended:
+            await self._wait(self._patience())
+        ended, self.ended = self.ended, []
+        for attempt in ended:
+            if attempt not in self.running:  # given up before
                 continue
-            if (answer := self._take(task.result())) is not None:
+            self.running.remove(attempt)
+            if attempt.task.cancelled():
+                self.may_have_run |= attempt.sent.is_sent
+            elif (answer := self._take(attempt.task.result())) is not None:
                 return answer
         return None
 
+    async def _wait(self, patience_s: float | None) -> None:
+        """Until an attempt ends, or for so many s."""
+        self.waiter = self.loop.create_future()
+        timer = self.loop.call_later(patience_s, self._wake) if patience_s is not None else None
+        try:
+            await self.waiter
+        finally:
+            if timer is not None:
+                timer.cancel()
+
+    def _on_ended(self, attempt: Attempt) -> None:
+        self.ended.append(attempt)
+        self._wake()
+
+    def _wake(self) -> None:
+        if self.waiter is not None and not self.waiter.done():
+            self.waiter.set_result(None)
+
     def _patience(self) -> float | None:
         """s after which a second attempt is begun beside the only one; None where none is."""
         route = self.admitted.route
--- a/irisdeal/proxy/connection_pool.py
+++ b/irisdeal/proxy/connection_pool.py
@@ -42,7 +42,7 @@
         waiting = connection.start(request)
         try:
             async with asyncio.timeout_at(request.until):
-                return await asyncio.shield(waiting)
+                return await waiting
         except TimeoutError:
             connection.give_up()
             return Outcome(End.LOST, "no answer in time", late=True)
