--- a/tests/request_runs.py
+++ b/tests/request_runs.py
@@ -49,10 +49,19 @@
             self.world.still_s += CUT_S
         self.few_slots = chance.random() < 0.3
         self.hold_s = chance.choice((0.0, 0.0, 0.3, 1.0))
+        self.changes = self._drawn_changes(random.Random(seed + 1))
         self.tasks: set[asyncio.Task[Any]] = set()
         if self.few_slots:
             self.world.prepare = lambda door: setattr(door.gate, "slots", 2)
 
+    @staticmethod
+    def _drawn_changes(chance: random.Random) -> list[tuple[float, int]]:
+        """When the configuration changes, and its idle time in ms: in three of ten runs."""
+        if chance.random() >= 0.3:
+            return []
+        return [(chance.uniform(0.0, LENGTH_S + 2.0), chance.choice((300, 2000, 15_000)))
+                for _ in range(chance.randint(1, 4))]
+
     def play(self) -> Result:
         """The whole run, and the judge."""
         world = self.world
@@ -79,6 +88,8 @@
             self._start(self._later(at, self._client(chance.choice(KINDS))))
         if self.term_at is not None:
             self._start(self._later(self.term_at, self._terminate()))
+        for number, (at, idle_ms) in enumerate(sorted(self.changes), 2):
+            self._start(self._later(at, self._reconfigure(number, idle_ms)))
         if self.trouble != "none":
             self._start(self._later(chance.uniform(0.0, LENGTH_S), self._troubled()))
         await asyncio.sleep(LENGTH_S)
@@ -99,6 +110,9 @@
     async def _terminate(self) -> None:
         self.world.terminate()
 
+    async def _reconfigure(self, number: int, idle_ms: int) -> None:
+        self.world.reconfigure(number, idle_ms)
+
     async def _troubled(self) -> None:
         world = self.world
         match self.trouble:
--- a/tests/request_world.py
+++ b/tests/request_world.py
@@ -298,7 +298,7 @@
         door.admission.most_proxies, door.admission.has_reported, door.repeats.slack_from = 8, True, 0.0
         if self.registry is not None:
             door.registries._by_nearness = lambda: [REGISTRY]  # type: ignore[method-assign]
-        door._on_word(self._configuration())
+        door._on_word(self.configuration(1))
         door.gate.slots = SLOTS
         door._on_life(Life("i-0", "s", f"{BACKEND}:80", "z", 500, State.READY, 1, 0.0), False)
         door._on_life(Life("i-1", "s", f"{BACKEND}:81", "z", 500, State.READY, 1, 0.0), False)
@@ -308,17 +308,28 @@
         await door.stop()
         return 0
 
-    def _configuration(self) -> Word:
+    def reconfigure(self, number: int, idle_ms: int) -> None:
+        """Another configuration comes into force, and SIGHUP says that the settings have changed."""
+        door = self.door
+        if door is not None and not self.proxy.dead:
+            self.proxy.call_soon(door._on_word, self.configuration(number, idle_ms))
+            self.proxy.call_soon(door.reload, door.settings)
+
+    def configuration(self, number: int, idle_ms: int = 15_000) -> Word:
+        """Two routes, one of which may be repeated."""
         def rule(name: str, kind: str, prefix: str) -> dict[str, Any]:
             return {"name": name, "kind": kind, "target_ms": 4000, "pattern": {"path_prefix": prefix},
                     "effect": {"service": "s", "timeout_ms": 9000, "max_tries": self.max_tries}}
 
+        limits = {
+            "max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000,
+            "idle_timeout_ms": idle_ms}
         body = {
-            "generation": "r1", "pools": [{"name": "s"}],
+            "generation": f"r{number}", "pools": [{"name": "s"}], "limits": limits,
             "tenants": [{"name": "t", "api_keys": ["k"], "priority": 1}],
             "sockets": [{"hostname": "h", "rules": [
                 rule("repeatable", "idempotent", "/a/"), rule("once", "mutating", "/b/")]}]}
-        return Word.of("r1", json.dumps(body).encode())
+        return Word.of(f"r{number}", json.dumps(body).encode())
 
     async def _serve_backend(self) -> int:
         loop = asyncio.get_running_loop()
