What a registry remembers goes by a call of its own, so that versions can stand side by side

Cause: the answer to the call 'all' had got another form with the last change, which a registry of the version before cannot read: its learning would have failed for good. Change: all_lives beside it; all stands as it was. Tests of calls, registries and closing faults pass.

--- a/irisdeal/gauge/peers.py
+++ b/irisdeal/gauge/peers.py
@@ -123,7 +123,7 @@
         self.on_news()
 
     async def _learn_from(self, ip: str, heard: set[str]) -> None:
-        answer = await self.link(ip).call("all", None, ANSWER_S)
+        answer = await self.link(ip).call("all_lives", None, ANSWER_S)
         if isinstance(answer, Success):
             told = AllLives.decode(answer.unwrap())
             if told.remembers:
--- a/irisdeal/gauge/station.py
+++ b/irisdeal/gauge/station.py
@@ -44,7 +44,7 @@
 OWN_PAUSE = 1.0  # s between two looks: so late, we were not there to hear beats
 QUIET_S = 0.1  # s that a registry which ends goes on accepting: callers go to another once it does not
 END_S = 0.4  # s of the grace that are kept for the process's own end
-TAKEN_LEAVING = frozenset({"told", "all", "ended"})  # calls that are answered to the end: what others rely on
+TAKEN_LEAVING = frozenset({"told", "all", "all_lives", "ended"})  # calls answered to the end: others rely on them
 JSON = [(b"Content-Type", b"application/json")]
 
 
@@ -177,8 +177,10 @@
                 return None
             case "lives":  # a door tells what it knows to one that may have forgotten
                 return self.peers.hear(body)
-            case "all":
+            case "all_lives":
                 return self.peers.all().encode()
+            case "all":  # of a registry of the version before: it does not ask who remembers
+                return [list(life) for life in self.peers.all().lives]
         raise ValueError(f"no call {kind!r}")
 
     # Calls from outside
--- a/irisdeal/telegraph/calls.py
+++ b/irisdeal/telegraph/calls.py
@@ -182,6 +182,7 @@
             "tells it again with the next beat; an end is not acknowledged",
         ),
         Call("all", "gauge", "gauge", Again.ANYONE, "-", _NOTHING, "asks again 0.5 s later"),
+        Call("all_lives", "gauge", "gauge", Again.ANYONE, "-", _NOTHING, "asks again 0.25 s later"),
         Call(
             "sums",
             "gauge",
