An idle connection is closed at the end at once; only who was answered a moment ago is read on

Cause: a proxy that ends half-closed all idle connections and read them on for a second, so that it ended a second later and a request that crossed waited for as long. Change: only a connection with an answer on its way is read on.

--- a/irisdeal/http1/connection.py
+++ b/irisdeal/http1/connection.py
@@ -192,11 +192,15 @@
         self.loop.call_later(LINGER_S, self.drop)
 
     def leave(self) -> None:
-        """The process ends: promise what is coming, close our end of what is idle."""
+        """The process ends: promise what is coming, close what is idle."""
         if self.transport is None or self.is_finished or self.owed():
             return
+        is_idle = self.loop.time() - self.parser.since > LINGER_S and not self.transport.get_write_buffer_size()
         if self.parser.is_reading:
             self._write(NOT_TAKEN, close=True)
+        elif is_idle:  # no answer is on its way that a reset could take along, and who asks now hears of it at once
+            self.is_ending = True
+            return self.drop()
         self._finish()
 
     def drop(self) -> None:
