--- a/tests/request_world.py
+++ b/tests/request_world.py
@@ -137,6 +137,10 @@
         self.sent: list[Sent] = []
         self.transport: asyncio.Transport | None = None
         self.is_told_to_close = self.has_left = False
+        self.keeps_open = False  # our end, once the proxy has closed its own
+
+    def eof_received(self) -> bool:
+        return self.keeps_open
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport  # type: ignore[assignment]
--- a/tests/test_request_drain.py
+++ b/tests/test_request_drain.py
@@ -139,6 +139,23 @@
     assert took[0] < MOST_QUIET_S + 4 * STEP_S, "it waits for nobody who is idle"
 
 
+def test_idle_clients_that_do_not_close_their_end_are_not_waited_for() -> None:
+    world, took = RequestWorld(), []
+
+    async def act() -> None:
+        for _ in range(KEPT):
+            client = await world.connect()
+            assert client is not None
+            client.keeps_open = True
+            client.send(world.request(10))
+        await asyncio.sleep(1.0)
+        world.terminate()
+        took.append(await ended(world))
+
+    world.play(act)
+    assert took[0] < MOST_QUIET_S + 4 * STEP_S
+
+
 def test_who_closes_his_kept_connections_is_not_waited_for() -> None:
     world, took = RequestWorld(), []
 
