A test of tables keeps one host, so that there is one to change

It is the test's fault: the program was not reached. Mend: the last host stays; the seed is played always. What the test asks of the tables is unchanged.

--- a/tests/test_table.py
+++ b/tests/test_table.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 import pytest
-from hypothesis import given, settings, strategies
+from hypothesis import example, given, settings, strategies
 from returns.result import Result
 
 from irisdeal.almanac.index import run
@@ -82,6 +82,7 @@
 
 @settings(max_examples=12, deadline=None)
 @given(strategies.integers(0, 2**32))
+@example(3447)  # whose hosts were all taken away: there was none left to change, and the test failed
 def test_a_table_by_changes_is_the_whole_one(seed: int) -> None:
     """Also where hosts come and go; the tables before stay as they were."""
     chance = Random(f"changes {seed}")  # with 1 it would draw the names that are there
@@ -91,7 +92,7 @@
     for number in range(2, 9):
         for _ in range(3):
             data = change(data, chance, f"r{number}")
-        if chance.random() < 0.4:
+        if len(data["sockets"]) > 1 and chance.random() < 0.4:
             moved = data["sockets"].pop(chance.randrange(len(data["sockets"])))
             if chance.random() < 0.5:
                 data["sockets"].append({**moved, "hostname": f"new{number}.example"})
