--- a/irisdeal/proxy/connection_pool.py
+++ b/irisdeal/proxy/connection_pool.py
@@ -12,9 +12,7 @@
 from irisdeal.proxy.outcome import End, Outcome
 
 CONNECT = 0.25  # s to come up: an accept queue that is full answers after seconds
-IDLE_MUTATING = (
-    0.65  # of the rest that a connection may have, for what runs once: a reset costs its answer
-)
+IDLE_MUTATING = 0.65  # of the rest that a connection may have, for what runs once: a reset costs its answer
 MOST_RESTING = 32  # connections of one backend
 
 
