Review case 1: five rounds of kills in place of three

What: the script kills the core five times; the stand-ins follow the address for later beats that an answer names, can cut a core machine off, and end what they started on SIGTERM.

--- a/review/1/play.py
+++ b/review/1/play.py
@@ -27,7 +27,7 @@
 )
 
 BACKENDS = {"svc-a": 20, "svc-b": 7}  # 27 as in the small deployments
-ROUNDS = 3
+ROUNDS = 5
 LEAVING = 3  # backends of svc-a in a round: 0.11 of all
 DOWN_S = 0.8  # "come back within a second"
 LEAVE_GAP_S = 0.25  # between the backends that leave
--- a/review/standins.py
+++ b/review/standins.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import itertools
 import json
 import os
@@ -119,10 +120,65 @@
             writer.close()
 
 
+class Link:
+    """Forwards the connections to one port of a machine from the others; while it is cut, nothing passes.
+
+    A cut is silent: connections that come meanwhile, and those that are open, hang, and end when it heals.
+    """
+
+    def __init__(self, listen_at: tuple[str, int], forward_to: tuple[str, int]) -> None:
+        self.listen_at, self.forward_to = listen_at, forward_to
+        self.is_cut = False
+        self.held: list[asyncio.StreamWriter] = []
+        self.server: asyncio.Server | None = None
+
+    async def open(self) -> None:
+        """Listen."""
+        self.server = await asyncio.start_server(self._serve, *self.listen_at)
+
+    def heal(self) -> None:
+        """Let new connections pass again; those from before end."""
+        self.is_cut = False
+        for writer in self.held:
+            writer.close()
+        self.held.clear()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.is_cut:
+            self.held.append(writer)
+            return
+        try:
+            other_reader, other_writer = await asyncio.open_connection(*self.forward_to)
+        except OSError:
+            writer.close()
+            return
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.gather(self._relay(reader, other_writer), self._relay(other_reader, writer))
+
+    async def _relay(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while data := await reader.read(65536):
+                if self.is_cut:
+                    self.held.append(writer)
+                    return
+                writer.write(data)
+                await writer.drain()
+        except (OSError, asyncio.CancelledError):
+            pass
+        if self.is_cut:
+            self.held.append(writer)
+        else:
+            writer.close()
+
+
 class Deployment:
-    """The project's own programs as processes: `cores` core machines and `edges` edge machines on loopback."""
+    """The project's own programs as processes: `cores` core machines and `edges` edge machines on loopback.
+
+    With `has_links`, the last core machine has another `port_range` than the others, and a `Link` stands in each
+    direction between it and them, so that it can be cut off.
+    """
 
-    def __init__(self, record: Record, cores: int = 3, edges: int = 2) -> None:
+    def __init__(self, record: Record, cores: int = 3, edges: int = 2, has_links: bool = False) -> None:
         self.record = record
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.net = f"127.{random.randrange(20, 120)}.{random.randrange(1, 250)}"
@@ -131,13 +187,36 @@
         self.edges = [f"{self.net}.{index + 101}" for index in range(edges)]
         self.processes: dict[tuple[str, str], subprocess.Popen[bytes]] = {}
         self.logs: dict[tuple[str, str], Any] = {}
+        self.links: list[Link] = []
+        if has_links:
+            self._add_links()
+
+    def _add_links(self) -> None:
+        far = self.cores[-1]
+        for offset in (0, 1):  # the configuration store and the registry
+            self.links.append(Link((far, self.port + offset), (far, self.port + 20 + offset)))
+            for ip in self.cores[:-1]:
+                self.links.append(Link((ip, self.port + 20 + offset), (ip, self.port + offset)))
+
+    def first_port(self, ip: str) -> int:
+        """Return the first port of `port_range` on this machine."""
+        return self.port + 20 if self.links and ip == self.cores[-1] else self.port
+
+    def cut_off(self, is_cut: bool) -> None:
+        """Cut the last core machine off from all other machines of the system, or let it join them again."""
+        for link in self.links:
+            if is_cut:
+                link.is_cut = True
+            else:
+                link.heal()
+        self.record.note(f"{self.cores[-1]} is {'cut off' if is_cut else 'joined again'}")
 
     def _free_port(self) -> int:
-        """Return the first of twenty ports that nobody listens on at the addresses of this run."""
+        """Return the first of forty ports that nobody listens on at the addresses of this run."""
         while True:
-            first = random.randrange(20000, 30000, 20)
+            first = random.randrange(20000, 30000, 40)
             try:
-                for offset in range(20):
+                for offset in range(40):
                     with socket.socket() as sock:
                         sock.bind((f"{self.net}.1", first + offset))
                 return first
@@ -173,7 +252,7 @@
             f'ip = "{ip}"',
             f'zone = "{zone}"',
             'region = "r"',
-            f"port_range = [{self.port}, {self.port + 15}]",
+            f"port_range = [{self.first_port(ip)}, {self.first_port(ip) + 15}]",
             f"seed_peers = {json.dumps([f'{core}:{self.port + 16}' for core in self.cores[:3]])}",
             f"bootstrap = {str(bootstrap).lower()}",
             f"counted = {str(is_core).lower()}",
@@ -291,6 +370,16 @@
         return None
 
 
+def _beat_target(answer: HttpAnswer | None) -> str:
+    """Return the machine that the answer to a beat names for later beats; empty if it names none."""
+    named = (
+        json.loads(answer.body or b"{}").get("beat_target", "")
+        if answer is not None and answer.status == 200
+        else ""
+    )
+    return str(named).partition(":")[0]
+
+
 class Backend:
     """A backend: beats, serves one request at a time on a connection, and turns away what names another backend."""
 
@@ -319,7 +408,7 @@
         self.task = asyncio.create_task(self._beat())
 
     async def _beat(self) -> None:
-        caller = ControlCaller(self.deployment, self.id)
+        caller, target = ControlCaller(self.deployment, self.id), ""
         while self.is_beating:
             self.beats += 1
             body = {
@@ -332,7 +421,9 @@
                 "warmup_left_ms": 0,
                 "call_count": self.beats,
             }
-            await caller.call("POST", f"/backends/{self.id}/heartbeat", json.dumps(body).encode(), 3.0)
+            path = f"/backends/{self.id}/heartbeat"
+            answer = await caller.call("POST", path, json.dumps(body).encode(), 3.0, target)
+            target = _beat_target(answer) or target
             await asyncio.sleep(BEAT_INTERVAL_S)
 
     async def deregister(self) -> bool:
@@ -476,10 +567,18 @@
         return attempt
 
 
-def main(folder: str, play: Callable[[Deployment, bool], Any], cores: int = 3, edges: int = 2) -> None:
+def main(
+    folder: str,
+    play: Callable[[Deployment, bool], Any],
+    cores: int = 3,
+    edges: int = 2,
+    has_links: bool = False,
+) -> None:
     """Play a case, and exit with 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
     record = Record(Path(folder).resolve() / "record.txt")
-    deployment = Deployment(record, cores, edges)
+    deployment = Deployment(record, cores, edges, has_links)
+
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
 
     async def run() -> int:
         async with asyncio.timeout(HOLD_S):
