--- a/review/1/play.py
+++ b/review/1/play.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
@@ -138,4 +139,5 @@
 
 
 if __name__ == "__main__":
-    main(str(Path(__file__).parent), play, cores=3, edges=2)
+    has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    main(Path(__file__).resolve().parent / "record.txt", play, has_trouble, cores=3, edges=2)
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,3 +1,6 @@
 #!/bin/sh
-# Builds the stand-ins that the scripts start: they are Python from the standard library alone.
-cd "$(dirname "$0")/.." && exec python3 -m compileall -q review
+# Builds the stand-ins that the scripts start: Python from the standard library alone, so it checks that they compile.
+cd "$(dirname "$0")/.." || exit 1
+for file in review/*.py review/[123]/play.py; do
+    python3 -B -c 'import sys; compile(open(sys.argv[1]).read(), sys.argv[1], "exec")' "$file" || exit 1
+done
--- a/review/standins.py
+++ b/review/standins.py
@@ -568,21 +568,22 @@
 
 
 def main(
-    folder: str,
+    record_path: Path,
     play: Callable[[Deployment, bool], Any],
+    has_trouble: bool,
     cores: int = 3,
     edges: int = 2,
     has_links: bool = False,
 ) -> None:
     """Play a case, and exit with 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
-    record = Record(Path(folder).resolve() / "record.txt")
+    record = Record(record_path)
     deployment = Deployment(record, cores, edges, has_links)
 
     signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
 
     async def run() -> int:
         async with asyncio.timeout(HOLD_S):
-            return int(await play(deployment, os.environ.get("TROUBLE", "1") != "0"))
+            return int(await play(deployment, has_trouble))
 
     try:
         code = asyncio.run(run())
