Keep a permit bucket as long as permits issued from it may be in use

Callers saw a tenant get more than its limit (QUOTA). Cause: PermitIssuer.configure deleted the bucket of a tenant that a configuration left out, and partly_used deleted one that was full under the limit of the moment. The next claim made a bucket filled since the start of the process, under the limit of that moment, so permits that had been issued from the former bucket were issued again.

Change: configure deletes nothing. A bucket is deleted only once nothing was issued or renewed from it for a window, the time in flight and a lease, whatever the configuration says meanwhile.

The fix works since a window that begins after the deletion holds nothing of the former bucket.

--- a/irisdeal/permits/allowance.py
+++ b/irisdeal/permits/allowance.py
@@ -74,11 +74,21 @@
     ready: float
     reserved: float
 
+    @property
+    def stock(self) -> float:
+        """All permits that may be held at one moment, by registries and proxies together."""
+        return self.ready + self.reserved
+
+
+def refill_span_s(rule: QuotaRule) -> float:
+    """Return the longest time in s, on any clock, whose refill may be used within one window."""
+    return (rule.window_s + IN_FLIGHT_S) * MAX_CLOCK_RATIO
+
 
 def compute_allowance(rule: QuotaRule, limit: Limit, issuers: int) -> Allowance:
     """Return the allowance of all buckets of a tenant together, if `issuers` registries issue permits."""
     allowed = rule.allowed(limit)
-    refill_s = (rule.window_s + IN_FLIGHT_S) * MAX_CLOCK_RATIO
+    refill_s = refill_span_s(rule)
     min_stock = min(allowed / 2, MIN_STOCK_PER_ISSUER * issuers)
     desired_refill = limit.rate_per_s + REFILLED_BURST_SHARE * limit.burst / rule.window_s
     refill = min(desired_refill, (allowed - min_stock) / refill_s)
--- a/irisdeal/permits/bucket.py
+++ b/irisdeal/permits/bucket.py
@@ -23,6 +23,15 @@
         self.refill_per_s, self.capacity = refill_per_s, capacity
         self.permits = 0.0
         self.filled_at = since
+        self.last_issue_at = float("-inf")  # of a permit, or of the renewal of a prefetched one
+
+    def record_renewal(self, now: float) -> None:
+        """Record that prefetched permits of this bucket were renewed: they may be used for another lease."""
+        self.last_issue_at = now
+
+    def _issue(self, count: float, now: float) -> None:
+        self.permits -= count
+        self.last_issue_at = now
 
     def change(self, refill_per_s: float, capacity: float, now: float) -> None:
         """Apply a changed refill rate and capacity; discard permits over the capacity.
@@ -55,13 +64,14 @@
         withheld = ON_TIME_SHARE * self.capacity if is_late else 0.0
         if self.ready(now) < cost + withheld:
             return False
-        self.permits -= cost
+        self._issue(cost, now)
         return True
 
     def prefetch(self, wanted: int, now: float) -> int:
         """Take up to `wanted` permits for a proxy; the lower half stays for direct claims."""
         granted = max(0, min(wanted, int(self.ready(now) - self.capacity / 2)))
-        self.permits -= granted
+        if granted:
+            self._issue(granted, now)
         return granted
 
     def lend(self, wanted: int, retained: float, now: float) -> int:
@@ -69,7 +79,8 @@
         ready = self.ready(now)
         spare = ready - min(retained, ready / 2)
         granted = max(0, min(wanted, math.ceil(spare - ROUNDING_TOLERANCE), int(ready)))
-        self.permits -= granted
+        if granted:
+            self._issue(granted, now)
         return granted
 
     def is_full(self, now: float) -> bool:
--- a/irisdeal/permits/issuer.py
+++ b/irisdeal/permits/issuer.py
@@ -8,7 +8,7 @@
 from collections.abc import Mapping
 from enum import Enum
 
-from irisdeal.permits.allowance import Allowance, Limit, QuotaRule, compute_allowance
+from irisdeal.permits.allowance import Allowance, Limit, QuotaRule, compute_allowance, refill_span_s
 from irisdeal.permits.authority import RESERVE_GUARD_S, IssuingAuthority
 from irisdeal.permits.bucket import PermitBucket
 from irisdeal.permits.messages import PrefetchReply, PrefetchReport
@@ -30,7 +30,11 @@
         """`incarnation`: of this process, unique among all processes of all registries."""
         self.incarnation, self.rule, self.authority, self.started_at = incarnation, rule, authority, now
         self.limits: Mapping[str, Limit] = {}
+        # Buckets are kept while permits issued from them may be in use within a window, whether the configuration
+        # names the tenant or not; a new bucket is filled since the start of this process.
         self.buckets: dict[str, PermitBucket] = {}
+        # Time after which an issued permit is neither in use nor in any window that is still open
+        self.retention_s = refill_span_s(rule) + LEASE_GUARD_S
         self.outstanding = OutstandingPermits()
         self.reserves_from = now + LEASE_GUARD_S  # until then, proxies may use grants of a former incarnation
         self.epoch = authority.epochs
@@ -40,8 +44,6 @@
         """Apply the tenants' limits of the newest configuration."""
         self.limits = limits
         self._shares.clear()
-        for tenant in [tenant for tenant in self.buckets if tenant not in limits]:
-            del self.buckets[tenant]
 
     def may_issue(self, age_s: float | None, now: float) -> bool:
         """Whether this registry may issue permits.
@@ -58,7 +60,7 @@
         return self.authority.may_issue(age_s, now)
 
     def bucket(self, tenant: str, now: float) -> PermitBucket:
-        """Return the tenant's bucket, adjusted to its limit, the number of issuers and the prefetched permits."""
+        """Return the bucket of a tenant with a limit, adjusted to the limit, the issuers and prefetched permits."""
         bucket = self.buckets.get(tenant)
         if bucket is None:
             bucket = self.buckets[tenant] = self._filled_since_start(tenant, now)
@@ -143,6 +145,7 @@
         more = bucket.prefetch(min(wanted - count, free), now) if wanted > count else 0
         if count or more:
             self.outstanding.renew(proxy, tenant, count + more, now)
+            bucket.record_renewal(now)
         return more
 
     def lend(self, tenant: str, wanted: int, retained: float, age_s: float | None, now: float) -> int:
@@ -157,16 +160,25 @@
         return bucket.ready(now)
 
     def partly_used(self, now: float) -> dict[str, float]:
-        """Return the ready permits of buckets that are not full, by tenant.
-
-        Full buckets without prefetched permits are deleted, as a newly created one would be full as well.
-        """
+        """Return the ready permits of buckets that are not full, by tenant; delete buckets that are not needed."""
         self.outstanding.expire(now)
         levels = {}
         for tenant in list(self.buckets):
-            bucket = self.bucket(tenant, now)
-            if not bucket.is_full(now):
-                levels[tenant] = bucket.ready(now)
-            elif not self.outstanding.total(tenant) and now > self.reserves_from:
+            level = self._level_if_partly_used(tenant, now)
+            if level is not None:
+                levels[tenant] = level
+            elif self._is_unused(self.buckets[tenant], tenant, now):
                 del self.buckets[tenant]
         return levels
+
+    def _level_if_partly_used(self, tenant: str, now: float) -> float | None:
+        """Return the ready permits of a bucket that is not full; None if it is, or if its tenant has no limit."""
+        if not self.is_limited(tenant):
+            return None
+        bucket = self.bucket(tenant, now)
+        return None if bucket.is_full(now) else bucket.ready(now)
+
+    def _is_unused(self, bucket: PermitBucket, tenant: str, now: float) -> bool:
+        """Whether no permit of this bucket may be in use, so that a new and full one exceeds no window."""
+        has_outstanding = self.outstanding.total(tenant) > 0 or now <= self.reserves_from
+        return not has_outstanding and now > bucket.last_issue_at + self.retention_s
--- /dev/null
+++ b/tests/permits/test_limit_changes.py
@@ -0,0 +1,121 @@
+"""Limits that appear, go and change: no window holds more than the largest limit in force allows."""
+
+from __future__ import annotations
+
+from collections import deque
+
+import pytest
+
+from irisdeal.permits.allowance import Limit, QuotaRule
+from irisdeal.permits.authority import IssuerList, IssuingAuthority
+from irisdeal.permits.issuer import ClaimResult, PermitIssuer
+
+RULE = QuotaRule()
+LISTED = IssuerList(3, frozenset({"a", "b", "c", "d"}))
+CONFIRMED_AGE_S = 0.1
+STEP_S = 0.005
+ABSENT_S = 0.05
+# From a change of a limit until the former one is no longer enforced: an `apply_ms` of 3 s, and one window.
+ENFORCED_AFTER_S = 3.0 + RULE.window_s
+
+
+def make_issuer(limits: dict[str, Limit]) -> PermitIssuer:
+    """Return one issuer of four that has been a member for long."""
+    authority = IssuingAuthority("a")
+    authority.restore_recorded(LISTED, 0.0)
+    authority.observe_list(LISTED, 0.0)
+    issuer = PermitIssuer(1, RULE, authority, 0.0)
+    issuer.configure(limits)
+    return issuer
+
+
+class Window:
+    """Counts admissions in a sliding window, and compares them with the issuer's part of the largest limit."""
+
+    def __init__(self) -> None:
+        self.admitted: deque[float] = deque()
+        self.limits: list[tuple[float, Limit]] = []  # time until which a limit may be enforced
+        self.worst = 0.0
+
+    def admit(self, now: float, limit: Limit) -> None:
+        """Record an admission."""
+        self.admitted.append(now)
+        while self.admitted[0] <= now - RULE.window_s:
+            self.admitted.popleft()
+        allowed = max(RULE.allowed(each) for each in (limit, *self._enforced(now)))
+        self.worst = max(self.worst, len(self.admitted) / (allowed / len(LISTED.machines)))
+
+    def replace(self, limit: Limit, now: float) -> None:
+        """Record that a limit was replaced."""
+        self.limits.append((now + ENFORCED_AFTER_S, limit))
+
+    def _enforced(self, now: float) -> list[Limit]:
+        return [limit for until, limit in self.limits if until > now - RULE.window_s]
+
+
+def flood(changes: dict[float, Limit | None], first: Limit, idle: tuple[float, float] = (0.0, 0.0)) -> float:
+    """Claim at far over the limit from 10 to 25 s, but not in `idle`; return the worst window.
+
+    `changes`: the limits decided at these times; None removes the tenant.
+    """
+    issuer, window, limit = make_issuer({"t": first}), Window(), first
+    pending = sorted(changes.items())
+    now = 10.0
+    while now < 25.0:
+        while pending and pending[0][0] <= now:
+            changed = pending.pop(0)[1]
+            issuer.configure({"t": changed} if changed is not None else {})
+            if changed is not None and changed != limit:
+                window.replace(limit, now)
+                limit = changed
+        if int(now / STEP_S) % 100 == 0:
+            issuer.partly_used(now)
+        if not idle[0] <= now < idle[1]:
+            while issuer.claim("t", CONFIRMED_AGE_S, now) is ClaimResult.GRANTED and limit.is_limited:
+                window.admit(now, limit)
+        now += STEP_S
+    return window.worst
+
+
+# Guards against QUOTA: a tenant that a configuration leaves out, and a later one names, had a full bucket again.
+@pytest.mark.parametrize(
+    "limit", [Limit(30.0, 30.0), Limit(100.0, 300.0), Limit(5.0, 5.0), Limit(0.5), Limit(2.0, 50.0)]
+)
+@pytest.mark.parametrize("times", [(12.0,), (12.0, 13.0, 14.0), (12.0, 12.2, 12.4, 12.6, 12.8, 17.0)])
+def test_a_tenant_that_is_removed_and_added_again_is_issued_no_permit_twice(
+    limit: Limit, times: tuple[float, ...]
+) -> None:
+    changes: dict[float, Limit | None] = {}
+    for at in times:
+        changes |= {at: None, at + ABSENT_S: limit}
+    assert flood(changes, limit) <= 1.0
+
+
+# Guards against QUOTA: a bucket deleted as full under a lowered limit was made anew, full under the raised one.
+@pytest.mark.parametrize(
+    ("low", "high"), [(Limit(1.0), Limit(30.0, 30.0)), (Limit(5.0, 5.0), Limit(30.0, 750.0))]
+)
+def test_a_limit_that_is_lowered_and_raised_in_turns_issues_no_permit_twice(low: Limit, high: Limit) -> None:
+    issuer, window, now = make_issuer({"t": high}), Window(), 10.0
+    for turn in range(40):
+        limit = (low, high)[turn % 2]
+        issuer.configure({"t": limit})
+        window.replace((low, high)[1 - turn % 2], now)
+        for _ in range(50):
+            now += STEP_S
+            # Nobody asks while the limit is low.
+            while limit is high and issuer.claim("t", CONFIRMED_AGE_S, now) is ClaimResult.GRANTED:
+                window.admit(now, limit)
+        issuer.partly_used(now)
+    assert window.worst <= 1.0
+
+
+def test_a_raised_limit_counts_at_once() -> None:
+    changes: dict[float, Limit | None] = {12.0: Limit(300.0, 300.0)}
+    assert 0.8 <= flood(changes, Limit(30.0, 30.0)) <= 1.0
+
+
+def test_a_tenant_without_a_limit_in_between_is_issued_no_permit_twice() -> None:
+    limit = Limit(30.0, 30.0)
+    changes: dict[float, Limit | None] = {12.0: Limit(), 12.1: limit, 12.6: Limit(), 12.7: limit}
+    assert flood(changes, limit) <= 1.0
