Bound a new limit's refill while the stock of a former one may be in use

Callers may see a tenant get more than either of two limits (QUOTA). Cause: a window that begins under a limit with a large stock and ends under one with a large refill rate held both, as the new rate counted at once.

Change: LimitHistory keeps the limits of the last window and lease of each bucket, and bounds the refill so that a former stock and a window's refill sum to the larger of the two limits. Limits that rise or fall in both parts are not slowed.

--- a/irisdeal/permits/issuer.py
+++ b/irisdeal/permits/issuer.py
@@ -11,6 +11,7 @@
 from irisdeal.permits.allowance import Allowance, Limit, QuotaRule, compute_allowance, refill_span_s
 from irisdeal.permits.authority import RESERVE_GUARD_S, IssuingAuthority
 from irisdeal.permits.bucket import PermitBucket
+from irisdeal.permits.limit_history import LimitHistory
 from irisdeal.permits.messages import PrefetchReply, PrefetchReport
 from irisdeal.permits.outstanding import LEASE_GUARD_S, OutstandingPermits
 
@@ -33,6 +34,7 @@
         # Buckets are kept while permits issued from them may be in use within a window, whether the configuration
         # names the tenant or not; a new bucket is filled since the start of this process.
         self.buckets: dict[str, PermitBucket] = {}
+        self.histories: dict[str, LimitHistory] = {}  # of the tenants with a bucket
         # Time after which an issued permit is neither in use nor in any window that is still open
         self.retention_s = refill_span_s(rule) + LEASE_GUARD_S
         self.outstanding = OutstandingPermits()
@@ -54,6 +56,7 @@
             # Permits issued under an earlier entitlement may still be in use, so the buckets start empty.
             self.epoch = self.authority.epochs
             self.buckets.clear()
+            self.histories.clear()
             if self.authority.entitled_at > self.started_at:
                 # Membership was not continuous: leases granted by former members have to expire first.
                 self.reserves_from = max(self.reserves_from, now + RESERVE_GUARD_S)
@@ -64,10 +67,17 @@
         bucket = self.buckets.get(tenant)
         if bucket is None:
             bucket = self.buckets[tenant] = self._filled_since_start(tenant, now)
+            self.histories[tenant] = LimitHistory(self.limits[tenant])
         share = self._share(tenant, now)
-        bucket.change(share.refill_per_s, self._capacity(tenant, share, now), now)
+        bucket.change(self._refill_per_s(tenant, share, now), self._capacity(tenant, share, now), now)
         return bucket
 
+    def _refill_per_s(self, tenant: str, share: Allowance, now: float) -> float:
+        """Return this registry's refill rate, bounded while permits of a former limit may be in use."""
+        history, issuers = self.histories[tenant], self.authority.issuers(now)
+        history.observe(self.limits[tenant], now, self.retention_s)
+        return min(share.refill_per_s, history.max_refill_per_s(self.rule, issuers) / issuers)
+
     def _filled_since_start(self, tenant: str, now: float) -> PermitBucket:
         """Return a bucket with all permits refilled since this process became entitled to issue."""
         share = self._share(tenant, now)
@@ -168,7 +178,7 @@
             if level is not None:
                 levels[tenant] = level
             elif self._is_unused(self.buckets[tenant], tenant, now):
-                del self.buckets[tenant]
+                del self.buckets[tenant], self.histories[tenant]
         return levels
 
     def _level_if_partly_used(self, tenant: str, now: float) -> float | None:
--- a/tests/permits/test_limit_changes.py
+++ b/tests/permits/test_limit_changes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections import deque
 
 import pytest
@@ -9,6 +10,8 @@
 from irisdeal.permits.allowance import Limit, QuotaRule
 from irisdeal.permits.authority import IssuerList, IssuingAuthority
 from irisdeal.permits.issuer import ClaimResult, PermitIssuer
+from irisdeal.permits.messages import PrefetchReport
+from irisdeal.permits.prefetched import PrefetchedPermits
 
 RULE = QuotaRule()
 LISTED = IssuerList(3, frozenset({"a", "b", "c", "d"}))
@@ -110,6 +113,12 @@
     assert window.worst <= 1.0
 
 
+# Guards against QUOTA: a window held the stock of the former limit, and the refill of the new one.
+@pytest.mark.parametrize("changed_at", [12.0, 12.1, 13.0, 14.5])
+def test_the_stock_of_a_former_limit_and_the_refill_of_the_next_share_a_window(changed_at: float) -> None:
+    assert flood({changed_at: Limit(100.0)}, Limit(1.0, 300.0), idle=(10.0, 12.0)) <= 1.0
+
+
 def test_a_raised_limit_counts_at_once() -> None:
     changes: dict[float, Limit | None] = {12.0: Limit(300.0, 300.0)}
     assert 0.8 <= flood(changes, Limit(30.0, 30.0)) <= 1.0
@@ -119,3 +128,46 @@
     limit = Limit(30.0, 30.0)
     changes: dict[float, Limit | None] = {12.0: Limit(), 12.1: limit, 12.6: Limit(), 12.7: limit}
     assert flood(changes, limit) <= 1.0
+
+
+def _random_limit(rng: random.Random) -> Limit | None:
+    rate = rng.choice((0.5, 3.0, 30.0, 200.0))
+    return rng.choice((None, Limit(rate, rate * rng.choice((0.0, 1.0, 25.0)))))
+
+
+def play_random_changes(seed: int) -> float:
+    """Play random limits, claims, and proxies that prefetch and use permits; return the worst window."""
+    rng, now, limit = random.Random(seed), 10.0, Limit(30.0, 30.0)
+    issuer, window = make_issuer({"t": limit}), Window()
+    proxies = [PrefetchedPermits(number) for number in range(4)]
+    for proxy in proxies:
+        proxy.demand["t"] = rng.uniform(0.5, 9.0)
+    is_flood = True
+    while now < 40.0:
+        now += rng.expovariate(100)
+        proxy = rng.choice(proxies)
+        match rng.choices(("claim", "use", "report", "limits", "pause"), (80, 10, 8, 1, 0.5))[0]:
+            case "claim" if is_flood:
+                if issuer.is_limited("t") and issuer.claim("t", CONFIRMED_AGE_S, now) is ClaimResult.GRANTED:
+                    window.admit(now, limit)
+            case "use" if proxy.consume("t", now):
+                window.admit(now, limit)
+            case "report":
+                report: PrefetchReport = proxy.build_report("a", now)
+                reply = issuer.handle_report(report, CONFIRMED_AGE_S, now)
+                proxy.receive_reply("a", reply, now, now)
+                issuer.partly_used(now)
+            case "limits":
+                changed = _random_limit(rng)
+                issuer.configure({"t": changed} if changed is not None else {})
+                if changed is not None:
+                    window.replace(limit, now)
+                    limit = changed
+            case "pause":
+                is_flood = not is_flood
+    return window.worst
+
+
+@pytest.mark.parametrize("first", range(0, 60, 20))
+def test_random_changes_of_a_limit_exceed_no_window(first: int) -> None:
+    assert max(map(play_random_changes, range(first, first + 20))) <= 1.0
