Request no loan for a tenant that was removed since the claim

Callers saw a placement call without an answer, and their proxy avoided that registry for half a second. Cause: a call waits for its turn between the claim and the loan; if a configuration removed the tenant meanwhile, the estimate of the lender's permits ended with a KeyError.

Change: borrow asks nobody for a tenant that has no limit here. Evidence: the new test ended with KeyError 't' before, and gets NOT_ISSUING now, after which the proxy asks another registry.

--- a/irisdeal/registry/quota_service.py
+++ b/irisdeal/registry/quota_service.py
@@ -118,7 +118,8 @@
         if tenant in self.pending_loans:
             await asyncio.shield(self.pending_loans[tenant])
             return
-        lender = self._best_lender(tenant)
+        # The limit may have been removed since the claim.
+        lender = self._best_lender(tenant) if self.issuer.is_limited(tenant) else None
         if lender is None:
             return
         done: asyncio.Future[None] = self.loop.create_future()
--- a/tests/rpc/test_late_messages.py
+++ b/tests/rpc/test_late_messages.py
@@ -23,6 +23,7 @@
 from irisdeal.registry.incarnation import BackendIncarnation, BackendState
 from irisdeal.registry.messages import (
     IntervalReport,
+    IntervalSum,
     PlacementReply,
     PlacementRequest,
     PlacementResult,
@@ -94,6 +95,22 @@
     assert quotas.counter.reports
 
 
+# Guards against a call that ends without an answer: a tenant was removed between a claim and its loan (KeyError).
+def test_a_loan_for_a_tenant_that_was_removed_meanwhile_is_not_requested() -> None:
+    rig = RegistryRig()
+    quotas = rig.admission.quotas
+    listed = IssuerList(1, frozenset({"g", "h"}))
+    rig.admission.authority.restore_recorded(listed, 0.0)
+    rig.admission.authority.observe_list(listed, 0.0)
+    quotas.issuer.configure({"t": Limit(30.0, 30.0)})
+    quotas.receive_sum(IntervalSum("h", 0.0, 0, {"t": Usage(ready=9.0)}, [7]))
+    request = PlacementRequest("z", "s", 0.1, [], 0, 0.0, 1.0, "t")
+    assert rig.admission.answer_at_once("proxy d#1", "place", request.encode()) is DEFERRED
+    quotas.issuer.configure({})
+    reply = asyncio.run(rig.admission.borrow_and_admit("proxy d#1", request))
+    assert reply.result is PlacementResult.NOT_ISSUING
+
+
 def test_a_repeated_release_frees_one_slot_and_none_of_another_proxy() -> None:
     rig = RegistryRig()
     number, other = rig.place("proxy d#1"), rig.place("proxy e#2")
