Quota simulation: several tenants, whose limits, keys and names change in a flood

Need: the simulation had one tenant that was always there, so it could not show that a tenant which comes and goes is issued permits twice.

--- a/benchmarks/counted.py
+++ b/benchmarks/counted.py
@@ -18,6 +18,7 @@
 from dataclasses import asdict, dataclass
 
 from irisdeal.permits.authority import IssuerList
+from irisdeal.simulation.quota import limit_changes
 from irisdeal.simulation.quota.faults import play
 from irisdeal.simulation.quota.world import QuotaWorld
 
@@ -148,10 +149,11 @@
     figure.savefig(path, dpi=110)
 
 
-def search(first: int, last: int, jobs: int) -> None:
+def search(first: int, last: int, jobs: int, has_limit_changes: bool) -> None:
     """Play random days and print the worst ones and how many violated the rule."""
+    play_day = limit_changes.play if has_limit_changes else play
     with ProcessPoolExecutor(jobs) as pool:
-        played = list(pool.map(play, range(first, last), chunksize=8))
+        played = list(pool.map(play_day, range(first, last), chunksize=8))
     played.sort(key=lambda result: -result[0])
     for worst, result in played[:5]:
         print(
@@ -173,12 +175,15 @@
     parser.add_argument(
         "--search", type=int, nargs=2, metavar=("FIRST", "LAST"), help="play random days of these seeds"
     )
+    parser.add_argument(
+        "--limits", action="store_true", help="search days on which tenants, limits and keys change"
+    )
     parser.add_argument("--jobs", type=int, default=4, help="parallel processes of the search")
     parser.add_argument("--json", action="store_true")
     parser.add_argument("--plot", metavar="FILE")
     args = parser.parse_args()
     if args.search:
-        return search(args.search[0], args.search[1], args.jobs)
+        return search(*args.search, args.jobs, args.limits)
     rows = []
     if not args.json:
         print(
--- a/irisdeal/simulation/quota/judge.py
+++ b/irisdeal/simulation/quota/judge.py
@@ -17,7 +17,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Setting:
-    """A limit that was decided at `at`."""
+    """A limit that was decided at `at`; a rate of 0 is no limit."""
 
     at: float
     rate: float
@@ -25,6 +25,8 @@
 
     def allowed(self) -> float:
         """Return the requests that may run in any window."""
+        if self.rate <= 0:
+            return float("inf")
         return (self.rate * WINDOW_S + self.burst) * (1 + MAX_EXCESS_RATIO) + MAX_EXCESS_COUNT
 
 
--- a/irisdeal/simulation/quota/nodes.py
+++ b/irisdeal/simulation/quota/nodes.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 from types import SimpleNamespace
 from typing import cast
 
@@ -23,6 +24,15 @@
 MAX_CONTACT_AGE_S = 1.8  # up to which a registry counts as in contact with the store
 
 
+@dataclass(frozen=True, slots=True)
+class TenantConfiguration:
+    """One version of the tenants' limits, and the tenant that each key belongs to."""
+
+    number: int
+    limits: Mapping[str, Limit]
+    owners: Mapping[str, str]
+
+
 class Clock:
     """A machine's monotonic clock: `speed` times as fast as virtual time, with an arbitrary offset."""
 
@@ -72,7 +82,7 @@
         age = self.clock.now() - self.contact_at if self.contact_at is not None else float("inf")
         return age if age <= MAX_CONTACT_AGE_S else None
 
-    def have_contact(self, machines: IssuerList, limits: dict[str, Limit]) -> None:
+    def have_contact(self, machines: IssuerList, limits: Mapping[str, Limit]) -> None:
         """Apply all decisions of the store up to now."""
         now = self.clock.now()
         self.authority.observe_list(machines, now)
@@ -80,44 +90,69 @@
             self.service.issuer.configure(limits)
         self.contact_at = now
 
-    def claim(self) -> ClaimResult:
+    def claim(self, tenant: str) -> ClaimResult:
         """Claim a permit for one request; borrow from other registries if this one has none."""
-        result = self.service.claim(TENANT, False)
-        if result is not ClaimResult.EXHAUSTED or not self.service.can_borrow(TENANT):
+        result = self.service.claim(tenant, False)
+        if result is not ClaimResult.EXHAUSTED or not self.service.can_borrow(tenant):
             return result
         try:
-            self.service.borrow(TENANT).send(None)
+            self.service.borrow(tenant).send(None)
         except StopIteration:
-            return self.service.claim(TENANT, False)
+            return self.service.claim(tenant, False)
         raise AssertionError("a loan was not answered immediately")
 
 
 class ProxyNode:
     """One incarnation of a proxy's process."""
 
-    def __init__(self, name: str, incarnation: int, home: int, clock: Clock, limit: Limit) -> None:
+    def __init__(
+        self, name: str, incarnation: int, home: int, clock: Clock, configuration: TenantConfiguration
+    ) -> None:
         self.name, self.home, self.clock = name, home, clock
         self.prefetched = PrefetchedPermits(incarnation)
-        self.throttle = ProbabilisticThrottle(TENANT, limit)
+        self.configuration = configuration
+        self.throttles: dict[str, ProbabilisticThrottle] = {}
+        self._update_throttles()
         self.unresponsive_until: dict[str, float] = {}  # registry -> virtual time until which it is skipped
         self.without_permits_until: dict[str, float] = {}
         self.newest_total = -1
 
-    def configure(self, limit: Limit) -> None:
-        """Apply another limit: permits granted under a higher one are dropped."""
-        before = self.throttle.limit
-        if limit.rate_per_s < before.rate_per_s or limit.burst < before.burst:
-            self.prefetched.drop(lambda tenant: True)
-        self.throttle.limit = limit
+    def _update_throttles(self) -> None:
+        for tenant, limit in self.configuration.limits.items():
+            throttle = self.throttles.get(tenant)
+            if throttle is None:
+                self.throttles[tenant] = ProbabilisticThrottle(tenant, limit)
+            else:
+                throttle.limit = limit
+
+    def configure(self, configuration: TenantConfiguration) -> None:
+        """Apply another configuration: permits granted under a higher limit, or of removed tenants, are dropped."""
+        before, after = self.configuration.limits, configuration.limits
+        self.configuration = configuration
+        self.prefetched.drop(lambda tenant: _is_lower(before.get(tenant), after.get(tenant)))
+        self._update_throttles()
+
+    def tenant_of(self, key: str) -> str | None:
+        """Return the tenant of a key by the configuration in force; None if there is none."""
+        tenant = self.configuration.owners.get(key)
+        return tenant if tenant in self.configuration.limits else None
+
+    def close(self) -> dict[str, Usage]:
+        """End the interval; return this proxy's requests in it, by tenant."""
+        usages = {}
+        for tenant, throttle in self.throttles.items():
+            asked, late = throttle.close_interval()
+            if throttle.limit.is_limited:
+                self.prefetched.record_demand(tenant, asked, INTERVAL_S)
+            usages[tenant] = Usage(asked, 0.0, 0.0, late)
+        return usages
+
+    def report(self, registry: str, number: int, usages: dict[str, Usage]) -> IntervalReport:
+        """Return the report for this registry."""
+        return IntervalReport(0.0, number, usages, self.prefetched.build_report(registry, self.clock.now()))
 
-    def close(self) -> Usage:
-        """End the interval; return this proxy's requests in it."""
-        asked, late = self.throttle.close_interval()
-        self.prefetched.record_demand(TENANT, asked, INTERVAL_S)
-        return Usage(asked, 0.0, 0.0, late)
 
-    def report(self, registry: str, number: int, usage: Usage) -> IntervalReport:
-        """Return the report for this registry."""
-        return IntervalReport(
-            0.0, number, {TENANT: usage}, self.prefetched.build_report(registry, self.clock.now())
-        )
+def _is_lower(before: Limit | None, after: Limit | None) -> bool:
+    if before is None or after is None:
+        return True
+    return after.rate_per_s < before.rate_per_s or after.burst < before.burst
--- a/irisdeal/simulation/quota/world.py
+++ b/irisdeal/simulation/quota/world.py
@@ -10,17 +10,18 @@
 
 import heapq
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from irisdeal.permits.allowance import Limit
 from irisdeal.permits.authority import IssuerList
 from irisdeal.permits.issuer import ClaimResult
 from irisdeal.permits.messages import LendRequest
 from irisdeal.ratelimit.interval_clock import INTERVAL_S
+from irisdeal.ratelimit.messages import Usage
 from irisdeal.registry.messages import IntervalReport, IntervalSum
 from irisdeal.registry.quota_service import SUM_SEND_RATIO
 from irisdeal.simulation.quota.judge import QuotaJudge
-from irisdeal.simulation.quota.nodes import TENANT, Clock, ProxyNode, RegistryNode
+from irisdeal.simulation.quota.nodes import TENANT, Clock, ProxyNode, RegistryNode, TenantConfiguration
 
 NETWORK_DELAY_S = 0.0014  # one way between two machines
 CLAIM_TIMEOUT_S = 0.06  # for the reply to a proxy's claim
@@ -28,11 +29,15 @@
 AVOIDANCE_S = 0.5  # a registry that did not answer, or issues no permits, is skipped this long
 CONTACT_INTERVAL_S = 0.2  # between a registry's contacts with the configuration store
 MAX_SEND_DELAY_S = 0.35  # from the claim of its permit; later a request is refused
+MAX_NOTIFY_S = 0.05  # within which a registry in contact is notified of a decision
 MAX_APPLY_S = 2.0  # within which a proxy applies a configuration
 
 
 class QuotaWorld:
-    """Proxies, registries and one tenant on a common schedule."""
+    """Proxies, registries and tenants on a common schedule.
+
+    `limit` and `judge` are those of the first tenant, `TENANT`.
+    """
 
     def __init__(
         self,
@@ -51,12 +56,16 @@
         """
         self.chance = random.Random(seed)
         self.time, self.drift = 0.0, drift
-        self.limit = Limit(rate, rate if burst is None else burst)
-        self.judge = QuotaJudge(self.limit.rate_per_s, self.limit.burst)
+        self.configuration = TenantConfiguration(0, {}, {})
+        self.judges: dict[str, QuotaJudge] = {}
+        self._add_tenant(TENANT, Limit(rate, rate if burst is None else burst))
+        # Registries are notified of each version, and proxies also apply versions that were replaced meanwhile.
+        self.applies_each_version = False
         self.events: list[tuple[float, int, Callable[..., None], tuple[object, ...]]] = []
         self.number = self.incarnations = 0
         self.asked = self.refused = 0
         self.lend_lost = self.lend_doubled = self.loss = 0.0
+        self.not_issuing_avoidance_s = AVOIDANCE_S  # for which a registry that issues no permits is skipped
         self.run_delay_s = 0.002  # mean time from a permit to the run
         self.down: set[str] = set()
         self.frozen: dict[str, list[tuple[Callable[..., None], tuple[object, ...]]]] = {}
@@ -65,6 +74,7 @@
         ips = [f"g{number}" for number in range(registries)]
         self.list = IssuerList(0, frozenset(ips))
         self.disks: dict[str, IssuerList] = {ip: self.list for ip in ips} if started else {}
+        self.previous_disks: dict[str, IssuerList] = {}  # before the last write
         self.registries = {ip: self.new_registry(ip) for ip in ips}
         self.proxies = [self._proxy(number, number % registries) for number in range(proxies)]
         self.weights = [self.chance.paretovariate(1.2) for _ in range(proxies)]
@@ -73,6 +83,31 @@
         for number in range(proxies):
             self.at(0.02 + self.chance.random() * 0.12, self._report, number)
 
+    @property
+    def limit(self) -> Limit:
+        """The decided limit of the first tenant."""
+        return self.configuration.limits[TENANT]
+
+    @property
+    def judge(self) -> QuotaJudge:
+        """The judge of the first tenant."""
+        return self.judges[TENANT]
+
+    def worst(self) -> float:
+        """Return the largest share of the allowed requests of any tenant that ran in any window."""
+        return max(judge.worst() for judge in self.judges.values())
+
+    def _add_tenant(self, tenant: str, limit: Limit) -> None:
+        self.judges[tenant] = QuotaJudge(limit.rate_per_s, limit.burst)
+        limits, owners = self.configuration.limits, self.configuration.owners
+        self.configuration = TenantConfiguration(0, {**limits, tenant: limit}, {**owners, tenant: tenant})
+
+    def add_tenant(self, tenant: str, limit: Limit) -> None:
+        """Add a tenant with a key of the same name, before the first event; all proxies know it."""
+        self._add_tenant(tenant, limit)
+        for proxy in self.proxies:
+            proxy.configure(self.configuration)
+
     def _next_incarnation(self) -> int:
         self.incarnations += 1
         return self.incarnations
@@ -86,7 +121,7 @@
         return RegistryNode(ip, self._next_incarnation(), self._clock(), self.disks.get(ip), self._lend)
 
     def _proxy(self, number: int, home: int) -> ProxyNode:
-        return ProxyNode(f"p{number}", self._next_incarnation(), home, self._clock(), self.limit)
+        return ProxyNode(f"p{number}", self._next_incarnation(), home, self._clock(), self.configuration)
 
     def _start_timers(self, ip: str) -> None:
         self.at(self.time + 0.001 * self.chance.random(), self._contact, ip)
@@ -105,11 +140,12 @@
             self.time, _, act, args = heapq.heappop(self.events)
             act(*args)
 
-    def load(self, since: float, until: float, times: float) -> None:
-        """Schedule requests at `times` the current rate, at random proxies by their weights."""
-        at, rate = since, self.limit.rate_per_s * times
+    def load(self, since: float, until: float, times: float, key: str = TENANT) -> None:
+        """Schedule requests with a key at `times` its tenant's rate, at random proxies by their weights."""
+        at, rate = since, self.configuration.limits[key].rate_per_s * times
         while (at := at + self.chance.expovariate(rate)) < until:
-            self.at(at, self._start_request, self.chance.choices(range(len(self.proxies)), self.weights)[0])
+            number = self.chance.choices(range(len(self.proxies)), self.weights)[0]
+            self.at(at, self._start_request, number, key)
 
     # Network
 
@@ -140,8 +176,12 @@
             self.list = decided
 
     def _contact(self, ip: str) -> None:
-        """Contact the store from a registry: succeeds if it and a majority of the list reach each other."""
+        """Contact the store from a registry at regular intervals."""
         self.at(self.time + CONTACT_INTERVAL_S, self._contact, ip)
+        self._contact_once(ip)
+
+    def _contact_once(self, ip: str) -> None:
+        """Contact the store from a registry: succeeds if it and a majority of the list reach each other."""
         if ip in self.down or ip in self.frozen:
             return
         reached = [
@@ -157,26 +197,51 @@
         ]
         if 2 * len(reached) > len(self.list.machines):
             node = self.registries[ip]
-            node.have_contact(self.list, {TENANT: self.limit})
+            node.have_contact(self.list, self.configuration.limits)
             record = node.authority.to_record(node.clock.now())
             if record is not None:
+                if ip in self.disks:
+                    self.previous_disks[ip] = self.disks[ip]
                 self.disks[ip] = node.authority.recorded_list = record
 
-    def set_limit(self, rate: float, burst: float) -> None:
-        """Decide another limit; reachable proxies apply it within `MAX_APPLY_S`."""
-        self.limit = Limit(rate, burst)
-        self.judge.record_limit(self.time, rate, burst)
+    def set_limit(self, rate: float, burst: float, tenant: str = TENANT) -> None:
+        """Decide another limit of a tenant, or add one that was removed; a rate of 0 is no limit."""
+        self.judges[tenant].record_limit(self.time, rate, burst)
+        self._decide_configuration({**self.configuration.limits, tenant: Limit(rate, burst)})
+
+    def remove_tenant(self, tenant: str) -> None:
+        """Decide a configuration without the tenant; proxies run its requests until they apply it."""
+        limits = {name: limit for name, limit in self.configuration.limits.items() if name != tenant}
+        self._decide_configuration(limits)
+
+    def pass_key(self, key: str, tenant: str) -> None:
+        """Decide that a key belongs to another tenant."""
+        self._decide_configuration(self.configuration.limits, {**self.configuration.owners, key: tenant})
+
+    def _decide_configuration(
+        self, limits: Mapping[str, Limit], owners: Mapping[str, str] | None = None
+    ) -> None:
+        """Decide a configuration; reachable proxies apply it within `MAX_APPLY_S`."""
+        before = self.configuration
+        self.configuration = TenantConfiguration(
+            before.number + 1, limits, before.owners if owners is None else owners
+        )
+        if self.applies_each_version:
+            for ip in self.registries:
+                self.at(self.time + MAX_NOTIFY_S * self.chance.random(), self._contact_once, ip)
         for number in range(len(self.proxies)):
-            self.at(self.time + MAX_APPLY_S * self.chance.random(), self._apply, number, self.limit)
+            self.at(self.time + MAX_APPLY_S * self.chance.random(), self._apply, number, self.configuration)
 
-    def _apply(self, number: int, limit: Limit) -> None:
+    def _apply(self, number: int, configuration: TenantConfiguration) -> None:
         proxy = self.proxies[number]
-        if limit != self.limit:
+        if proxy.configuration.number >= configuration.number:
+            return
+        if configuration != self.configuration and not self.applies_each_version:
             return
         if proxy.name in self.frozen or not any(self._reaches(proxy, ip) for ip in self.registries):
-            self.at(self.time + 0.3, self._apply, number, limit)
+            self.at(self.time + 0.3, self._apply, number, configuration)
         else:
-            proxy.configure(limit)
+            proxy.configure(configuration)
 
     # Between registries
 
@@ -218,20 +283,22 @@
         turn = proxy.home % len(ips)
         return ips[turn:] + ips[:turn]
 
-    def _start_request(self, number: int) -> None:
+    def _start_request(self, number: int, key: str) -> None:
         proxy = self.proxies[number]
         self.asked += 1
-        if not proxy.throttle.admit(self.chance.random()):
+        tenant = proxy.tenant_of(key)
+        if tenant is None or not proxy.throttles[tenant].admit(self.chance.random()):
             self.refused += 1
-        else:
-            self._deliver(
-                proxy.name, self._claim_from_next, number, proxy, self._registries_in_order(proxy), self.time
-            )
+            return
+        order = self._registries_in_order(proxy)
+        self._deliver(proxy.name, self._claim_from_next, number, proxy, order, self.time, tenant)
 
     def _claim_from_next(
-        self, number: int, proxy: ProxyNode, remaining: list[str], started_at: float
+        self, number: int, proxy: ProxyNode, remaining: list[str], started_at: float, tenant: str
     ) -> None:
         """Claim a permit at the next registry; if none is left, use a prefetched permit."""
+        if not proxy.throttles[tenant].limit.is_limited:
+            return self._run(self.time, tenant)
         while remaining:
             ip, remaining = remaining[0], remaining[1:]
             is_avoided = (
@@ -239,22 +306,22 @@
                 > self.time
             )
             if not is_avoided and ip not in self.down:
-                return self._claim_from(number, proxy, ip, remaining, started_at)
-        if proxy is self.proxies[number] and proxy.prefetched.consume(TENANT, proxy.clock.now()):
-            return self._run(self.time)
+                return self._claim_from(number, proxy, ip, remaining, started_at, tenant)
+        if proxy is self.proxies[number] and proxy.prefetched.consume(tenant, proxy.clock.now()):
+            return self._run(self.time, tenant)
         self.refused += 1
 
     def _claim_from(
-        self, number: int, proxy: ProxyNode, ip: str, remaining: list[str], started_at: float
+        self, number: int, proxy: ProxyNode, ip: str, remaining: list[str], started_at: float, tenant: str
     ) -> None:
-        next_claim = (number, proxy, remaining, started_at)
+        next_claim = (number, proxy, remaining, started_at, tenant)
         asked_at = self.time
         took = 2 * NETWORK_DELAY_S + self.slow.get(ip, 0.0) * self.chance.random()
         answers = ip not in self.frozen and took < CLAIM_TIMEOUT_S
         if not self.delivers(proxy.name, ip):
             answers = False
         else:
-            claim = self._claim(ip)
+            claim = self._claim(ip, tenant)
             answers = answers and self.delivers(ip, proxy.name)
         if not answers:
             proxy.unresponsive_until[ip] = self.time + CLAIM_TIMEOUT_S + AVOIDANCE_S
@@ -263,30 +330,30 @@
             return
         match claim:
             case ClaimResult.GRANTED:
-                self.at(asked_at + took, self._deliver, proxy.name, self._run, asked_at)
+                self.at(asked_at + took, self._deliver, proxy.name, self._run, asked_at, tenant)
             case ClaimResult.NOT_ISSUING:
-                proxy.without_permits_until[ip] = self.time + AVOIDANCE_S
+                proxy.without_permits_until[ip] = self.time + self.not_issuing_avoidance_s
                 self.at(self.time + took, self._deliver, proxy.name, self._claim_from_next, *next_claim)
-            case _ if proxy.prefetched.consume(TENANT, proxy.clock.now()):
-                self.at(self.time + took, self._deliver, proxy.name, self._run, asked_at)
+            case _ if proxy.prefetched.consume(tenant, proxy.clock.now()):
+                self.at(self.time + took, self._deliver, proxy.name, self._run, asked_at, tenant)
             case _:
                 self.refused += 1
 
-    def _claim(self, ip: str) -> ClaimResult:
+    def _claim(self, ip: str, tenant: str) -> ClaimResult:
         """Handle a claim at a registry, even if its reply will be lost."""
         if ip in self.frozen:
-            self.frozen[ip].append((self._claim_late, (ip,)))
+            self.frozen[ip].append((self._claim_late, (ip, tenant)))
             return ClaimResult.NOT_ISSUING
-        return self.registries[ip].claim()
+        return self.registries[ip].claim(tenant)
 
-    def _claim_late(self, ip: str) -> None:
-        self.registries[ip].claim()
+    def _claim_late(self, ip: str, tenant: str) -> None:
+        self.registries[ip].claim(tenant)
 
-    def _run(self, asked_at: float) -> None:
+    def _run(self, asked_at: float, tenant: str) -> None:
         """Send a request with a permit to a backend, or refuse it if `MAX_SEND_DELAY_S` has passed."""
         sent_at = self.time + self.chance.expovariate(1 / self.run_delay_s)
         if sent_at < asked_at + MAX_SEND_DELAY_S:
-            self.judge.record_run(sent_at + NETWORK_DELAY_S)
+            self.judges[tenant].record_run(sent_at + NETWORK_DELAY_S)
         else:
             self.refused += 1
 
@@ -295,11 +362,11 @@
         proxy = self.proxies[number]
         if proxy.name in self.frozen:
             return
-        interval, usage = int(self.time / INTERVAL_S) - 1, proxy.close()
+        interval, usages = int(self.time / INTERVAL_S) - 1, proxy.close()
         for ip in self._registries_in_order(proxy):
             if ip in self.down:
                 continue
-            report, sent_at = proxy.report(ip, interval, usage), proxy.clock.now()
+            report, sent_at = proxy.report(ip, interval, usages), proxy.clock.now()
             if not self._reaches(proxy, ip) or not self.delivers(proxy.name, ip):
                 if ip in self.frozen:
                     self.frozen[ip].append((self._receive_late_report, (ip, proxy.name, report)))
@@ -322,12 +389,18 @@
         ):
             return  # the reply is lost, or too late
         proxy.prefetched.receive_reply(ip, reply.reserve, sent_at, proxy.clock.now())
-        if reply.number > proxy.newest_total and TENANT in reply.totals:
+        if reply.number > proxy.newest_total and reply.totals:
             proxy.newest_total = reply.number
-            proxy.throttle.update_total(reply.totals[TENANT])
+            for tenant, throttle in proxy.throttles.items():
+                throttle.update_total(reply.totals.get(tenant, Usage()))
 
     # Faults
 
+    def lose_last_write(self, ip: str) -> None:
+        """Restore a registry's disk to its state before the last write."""
+        if ip in self.previous_disks:
+            self.disks[ip] = self.previous_disks[ip]
+
     def kill_registry(self, ip: str, is_wiped: bool = False) -> None:
         """End a registry's process; `is_wiped`: its disk is lost too."""
         self.down.add(ip)
--- a/tests/permits/test_quota_world.py
+++ b/tests/permits/test_quota_world.py
@@ -155,10 +155,12 @@
     return self.ready(now) >= cost
 
 
-def _admit(self: QuotaWorld, number: int, proxy: Any, remaining: list[str], started_at: float) -> None:
+def _admit(
+    self: QuotaWorld, number: int, proxy: Any, remaining: list[str], started_at: float, tenant: str
+) -> None:
     if remaining or self.time == started_at:
-        return _claim_from_next(self, number, proxy, remaining, started_at)
-    return self._run(self.time)
+        return _claim_from_next(self, number, proxy, remaining, started_at, tenant)
+    return self._run(self.time, tenant)
 
 
 def _always(self: IssuingAuthority, age_s: float | None, now: float) -> bool:
