Remove an ended backend from the service it is held under, whatever the report says

Cause: after a restart of the whole core no registry knows a backend that deregisters, so its end is recorded without a service; BackendDirectory looked up the services by that empty name, and the KeyError ended the task that receives all updates of this proxy.

Change: the lookup uses the backend that the directory holds.

--- a/irisdeal/proxy/backend_directory.py
+++ b/irisdeal/proxy/backend_directory.py
@@ -67,7 +67,8 @@
         if backend is None:
             return
         backend.is_draining = True
-        self.services[incarnation.service].pop(incarnation.id, None)
+        # A registry that does not know the backend reports its end without a service.
+        self.services[backend.service].pop(backend.id, None)
         self.on_retired(incarnation.id)
 
     def slots(self) -> int:
