Run the loops that a process depends on again after an exception

The class: a background loop that ends with only a log line.

Change: Tasks.keep_running logs E105 and runs the loop again after 0.25 s; the watches, interval reports and sums, the poll of the store and the status rounds use it. run_periodically logs an exception and goes on. A registry's synchronization resets its flag in any case and is repeated.

--- a/irisdeal/config_store/replica.py
+++ b/irisdeal/config_store/replica.py
@@ -112,7 +112,7 @@
             log_event(Event.STARTED_AS_LEARNER, seat=self.acceptor.seat)
         self._apply_decided()
         await self.server.listen((self.ip, ports.port(self.settings, ports.CONFIG_STORE)))
-        self.tasks.start(self.rounds.run())
+        self.tasks.keep_running(self.rounds.run)
         await self.metrics_server.start()
 
     async def stop(self) -> None:
--- a/irisdeal/proxy/process.py
+++ b/irisdeal/proxy/process.py
@@ -93,7 +93,7 @@
     async def start(self) -> None:
         """Start watching the registries and serving clients."""
         self.watcher.start()
-        self.tasks.start(self.admission.report_intervals())
+        self.tasks.keep_running(self.admission.report_intervals)
         await self.http_server.listen(
             parse_address(self.settings.bind.front), sock=self.listening.get("front")
         )
--- a/irisdeal/proxy/registry_watcher.py
+++ b/irisdeal/proxy/registry_watcher.py
@@ -91,7 +91,7 @@
     def start(self) -> None:
         """Start watching."""
         for _ in range(WATCHED_COUNT):
-            self.tasks.start(self._watch_registries())
+            self.tasks.keep_running(self._watch_registries)
 
     def stop(self) -> None:
         """Cancel all requests."""
--- a/irisdeal/registry/peers.py
+++ b/irisdeal/registry/peers.py
@@ -120,6 +120,15 @@
         if self.is_synchronizing:
             return
         self.is_synchronizing, self.is_synchronized = True, False
+        try:
+            await self._fetch_from_enough()
+            await self._mark_complete()
+            self.is_synchronized = True
+        finally:
+            self.is_synchronizing = False
+        self.on_change()
+
+    async def _fetch_from_enough(self) -> None:
         answered: set[str] = set()
         deadline = self.loop.time() + SYNC_TIMEOUT_S
         while True:
@@ -133,9 +142,6 @@
             heard=len(answered),
             incarnations=len(self.backends.entries),
         )
-        await self._mark_complete()
-        self.is_synchronizing, self.is_synchronized = False, True
-        self.on_change()
 
     def _has_enough_answers(self, answered: set[str]) -> bool:
         missing = self.store_client.members.ips() - answered - ({self.ip} if self.is_complete else set())
--- a/irisdeal/registry/server.py
+++ b/irisdeal/registry/server.py
@@ -136,11 +136,11 @@
         await self.peers.restore()
         await self.server.listen((self.ip, ports.port(self.settings, ports.REGISTRY)))
         self.store_client.start()
-        self.tasks.start(self.peers.synchronize())
+        self.tasks.keep_running(self.peers.synchronize)
         self.tasks.start(run_periodically(FLUSH_INTERVAL_S, self.peers.flush))
         self.tasks.start(run_periodically(CHECK_INTERVAL_S, self._check))
         self.tasks.start(run_periodically(REPORT_INTERVAL_S, self._share_loads))
-        self.tasks.start(self.admission.quotas.run_intervals(self._share_sum))
+        self.tasks.keep_running(lambda: self.admission.quotas.run_intervals(self._share_sum))
         self.tasks.start(self.authority_monitor.restore())
         await self.http.listen(parse_address(self.settings.bind.control))
         await self.metrics_server.start()
@@ -188,7 +188,7 @@
         has_contact = self.store_client.has_contact
         if has_contact and not self.had_contact and self.peers.is_synchronized:
             # Other registries may have received drains or ends while this one was cut off.
-            self.tasks.start(self.peers.synchronize())
+            self.tasks.keep_running(self.peers.synchronize)
         self.had_contact = has_contact
         self.watch.notify_proxies()
 
@@ -212,7 +212,7 @@
         now = self.loop.time()
         if now - self.checked_at > SUSPENSION_THRESHOLD_S:
             self.backends.extend_heartbeat_deadlines(now)
-            self.tasks.start(self.peers.synchronize())
+            self.tasks.keep_running(self.peers.synchronize)
         self.checked_at = now
         if self.backends.expire(now):
             self.watch.notify_proxies()
--- a/irisdeal/registry/store_client.py
+++ b/irisdeal/registry/store_client.py
@@ -96,7 +96,7 @@
 
     def start(self) -> None:
         """Follow the store in the background."""
-        self.tasks.start(self._follow())
+        self.tasks.keep_running(self._follow)
         self.tasks.start(run_periodically(PROBE_INTERVAL_S, self._probe_source))
 
     def stop(self) -> None:
--- a/irisdeal/runtime/process.py
+++ b/irisdeal/runtime/process.py
@@ -16,6 +16,8 @@
 from irisdeal.runtime.events import Event, log_event
 from irisdeal.runtime.settings import Settings, load_settings
 
+# Pause before a background loop that failed runs again, so that one that always fails uses little time
+RESTART_PAUSE_S = 0.25
 DEFAULT_SETTINGS_PATH = "/etc/irisdeal/settings.toml"  # used if `IRISDEAL_SETTINGS` is not set
 INVALID_SETTINGS_EXIT_CODE = 2
 
@@ -48,6 +50,10 @@
         task.add_done_callback(self._finish)
         return task
 
+    def keep_running(self, work: Callable[[], Coroutine[Any, Any, None]]) -> asyncio.Task[None]:
+        """Run a background loop in its own task, and run it again after an exception, which is logged."""
+        return self.start(_run_again_after_failures(work))
+
     def _finish(self, task: asyncio.Task[Any]) -> None:
         self.running.discard(task)
         if not task.cancelled() and (error := task.exception()) is not None:
@@ -59,13 +65,25 @@
             task.cancel()
 
 
+async def _run_again_after_failures(work: Callable[[], Coroutine[Any, Any, None]]) -> None:
+    while True:
+        try:
+            return await work()
+        except Exception as error:  # any fault of our own must not end what the process depends on
+            log_event(Event.TASK_FAILED, error=repr(error))
+        await asyncio.sleep(RESTART_PAUSE_S)
+
+
 async def run_periodically(period_s: float, action: Callable[[], Awaitable[None] | None]) -> None:
-    """Run `action` repeatedly, with a pause of `period_s` before each run."""
+    """Run `action` repeatedly, with a pause of `period_s` before each run; its exceptions are logged."""
     while True:
         await asyncio.sleep(period_s)
-        pending = action()
-        if pending is not None:
-            await pending
+        try:
+            pending = action()
+            if pending is not None:
+                await pending
+        except Exception as error:  # the next run may succeed, and others depend on it
+            log_event(Event.TASK_FAILED, error=repr(error))
 
 
 async def _serve(make_program: Callable[[Settings], Program], settings: Settings, path: str) -> None:
--- a/tests/proxy/test_registry_watcher.py
+++ b/tests/proxy/test_registry_watcher.py
@@ -419,3 +419,28 @@
     before = watcher.selector.avoided["10.1.0.1"]
     watcher.selector.avoid("10.1.0.1")
     assert watcher.selector.avoided["10.1.0.1"][1] == 2 * before[1]
+
+
+# Guards against CONFIG: two exceptions ended both watches of a proxy, which then got no updates any more.
+def test_a_proxy_whose_updates_fail_keeps_watching() -> None:
+    rig = CoreRig(3, 1)
+    failed: list[int] = []
+
+    def fail_twice() -> None:
+        receiver = rig.proxies[0].watcher.configuration
+        on_version = receiver.on_version
+
+        def on_failing_version(version: ConfigVersion) -> None:
+            if len(failed) < 2 * registry_watcher.WATCHED_COUNT:
+                failed.append(version.version_id.number)
+                raise KeyError("")
+            on_version(version)
+
+        receiver.on_version = on_failing_version
+
+    rig.at(1.5, fail_twice)
+    change_repeatedly(rig, 2.0, 8.0, [])
+    rig.play(9.0)
+    newest = max(number for _, number in rig.decided)
+    assert failed and rig.proxies[0].watcher.configuration.version_id.number == newest
+    assert rig.proxies[0].versions[-1][1] == newest
