Bound the memory of long bodies, and hold each byte of them once

Cause: the parser kept the pieces and joined them, each attempt copied head and body into one message, a response was held likewise, and nothing bounded the sum over all requests.

Change: bodies are held in blocks that are written as they are. The registry has a budget of its own.

--- a/benchmarks/counted.py
+++ b/benchmarks/counted.py
@@ -183,7 +183,7 @@
     parser.add_argument("--plot", metavar="FILE")
     args = parser.parse_args()
     if args.search:
-        return search(*args.search, args.jobs, args.limits)
+        return search(args.search[0], args.search[1], args.jobs, args.limits)
     rows = []
     if not args.json:
         print(
--- a/irisdeal/http1/messages.py
+++ b/irisdeal/http1/messages.py
@@ -5,20 +5,26 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+from irisdeal.http1.body import Blocks, size_of, to_blocks
 from irisdeal.http1.framing import Headers
 from irisdeal.http1.phase import Phase
+from irisdeal.runtime.memory_budget import MemoryLease
 
 
 class Request:
-    """A completely received request. `received_at`: when its last byte was read, s on the loop's clock."""
+    """A completely received request. `received_at`: when its last byte was read, s on the loop's clock.
+
+    `memory`: the lease of its body, and of responses to it; None without a budget.
+    """
 
     __slots__ = (
-        "body",
+        "blocks",
         "disconnected_at",
         "headers",
         "headers_by_name",
         "is_head",
         "keep_alive",
+        "memory",
         "method",
         "phase",
         "received_at",
@@ -26,26 +32,47 @@
     )
 
     def __init__(
-        self, method: bytes, target: bytes, headers: Headers, body: bytes, received_at: float
+        self, method: bytes, target: bytes, headers: Headers, body: bytes | Blocks, received_at: float
     ) -> None:
-        self.method, self.target, self.headers, self.body = method, target, headers, body
-        self.received_at = received_at
+        self.method, self.target, self.headers = method, target, headers
+        self.blocks, self.received_at = to_blocks(body), received_at
+        self.memory: MemoryLease | None = None
         self.headers_by_name = {name.lower(): value for name, value in headers}  # duplicates: the last one
         self.is_head = method == b"HEAD"  # the response has no body (RFC 9110, 9.3.2)
         self.keep_alive = True  # whether the connection stays open after the response (RFC 9112, 9.3)
         self.disconnected_at: float | None = None  # s on the loop's clock
         self.phase = Phase.PIPELINED
 
+    @property
+    def body(self) -> bytes:
+        """The whole body; a long one is copied."""
+        return b"".join(self.blocks)
+
+    @property
+    def body_size(self) -> int:
+        """The length of the body in bytes."""
+        return size_of(self.blocks)
+
 
 class Response:
     """A complete response. `close`: the connection closes after it."""
 
-    __slots__ = ("body", "close", "headers", "status")
+    __slots__ = ("blocks", "close", "headers", "status")
 
     def __init__(
-        self, status: int, body: bytes = b"", headers: Headers | None = None, close: bool = False
+        self, status: int, body: bytes | Blocks = b"", headers: Headers | None = None, close: bool = False
     ) -> None:
-        self.status, self.body, self.headers, self.close = status, body, headers or [], close
+        self.status, self.blocks, self.headers, self.close = status, to_blocks(body), headers or [], close
+
+    @property
+    def body(self) -> bytes:
+        """The whole body; a long one is copied."""
+        return b"".join(self.blocks)
+
+    @property
+    def body_size(self) -> int:
+        """The length of the body in bytes."""
+        return size_of(self.blocks)
 
 
 Handler = Callable[[Request], Coroutine[Any, Any, Response]]
--- a/irisdeal/http1/request_parser.py
+++ b/irisdeal/http1/request_parser.py
@@ -10,6 +10,7 @@
 
 import httptools
 
+from irisdeal.http1.body import BodyCollector
 from irisdeal.http1.errors import MalformedRequestError
 from irisdeal.http1.framing import FRAMING_FIELDS, OWS, Headers, normalized_field_name
 from irisdeal.http1.messages import Request, RequestLimits
@@ -42,8 +43,9 @@
     def _reset(self) -> None:
         self.url = b""
         self.headers: Headers = []
-        self.body_chunks: list[bytes] = []
-        self.head_size, self.body_size, self.is_head_complete = 0, 0, False
+        self.body = BodyCollector()
+        self.content_length = 0  # 0 without the field
+        self.head_size, self.is_head_complete = 0, False
         self.framing_field: bytes | None = None  # the field that determines the body length
         # Whether the client waits for a 100 before it sends the body (RFC 9110, 10.1.1)
         self.expects_continue = False
@@ -60,6 +62,11 @@
                 raise cause from None
             raise MalformedRequestError(400, "malformed request") from None
 
+    def discard(self) -> None:
+        """Release what was received of an incomplete request; nothing more may be fed."""
+        self._reset()
+        self.has_partial_request = False
+
     # Callbacks of httptools
 
     def on_message_begin(self) -> None:
@@ -93,7 +100,8 @@
         if key == b"content-length":
             if not value.isdigit():
                 raise MalformedRequestError(400, "odd framing")
-            if int(value) > self.limits.max_body_bytes:
+            self.content_length = int(value)
+            if self.content_length > self.limits.max_body_bytes:
                 raise self._body_too_long()
 
     def _body_too_long(self) -> MalformedRequestError:
@@ -113,15 +121,15 @@
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
-        self.body_size, self.last_progress_at = self.body_size + len(body), self.clock()
-        if self.body_size > self.limits.max_body_bytes:
+        self.last_progress_at = self.clock()
+        if self.body.size + len(body) > self.limits.max_body_bytes:
             raise self._body_too_long()
-        self.body_chunks.append(body)
+        self.body.append(body)
 
     def on_message_complete(self) -> None:
         """Pass on the complete request."""
         self.has_partial_request, self.last_progress_at = False, self.clock()
-        body = b"".join(self.body_chunks)
-        request = Request(self.parser.get_method(), self.url, self.headers, body, self.last_progress_at)
+        blocks = self.body.take()
+        request = Request(self.parser.get_method(), self.url, self.headers, blocks, self.last_progress_at)
         request.keep_alive = self.parser.should_keep_alive()
         self.on_request(request)
--- a/irisdeal/http1/server.py
+++ b/irisdeal/http1/server.py
@@ -14,10 +14,12 @@
 
 from irisdeal.http1.connection import Connection
 from irisdeal.http1.messages import Handler, Request, RequestLimits, Response
+from irisdeal.runtime.memory_budget import MemoryBudget
 from irisdeal.runtime.process import Tasks
 
 TIMEOUT_CHECK_INTERVAL_S = 1.0
 DRAIN_POLL_INTERVAL_S = 0.05
+DEFAULT_MEMORY_MB = 300.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,8 +38,14 @@
     """
 
     def __init__(
-        self, handler: Handler, loop: asyncio.AbstractEventLoop, cancels_on_eof: bool = False
+        self,
+        handler: Handler,
+        loop: asyncio.AbstractEventLoop,
+        cancels_on_eof: bool = False,
+        budget: MemoryBudget | None = None,
     ) -> None:
+        """`budget`: of long bodies; by default that of a process with `DEFAULT_MEMORY_MB`."""
+        self.budget = budget or MemoryBudget.of_limit(DEFAULT_MEMORY_MB)
         self.handler, self.loop, self.cancels_on_eof = handler, loop, cancels_on_eof
         self.limits = RequestLimits()
         self.connections: set[Connection] = set()
--- a/irisdeal/proxy/attempt.py
+++ b/irisdeal/proxy/attempt.py
@@ -11,7 +11,7 @@
 from irisdeal.placement.attempt_result import AttemptResult
 from irisdeal.proxy.attempt_outcome import AttemptEnd, AttemptOutcome
 from irisdeal.proxy.attempt_placer import AttemptPlacer, PlacedAttempt
-from irisdeal.proxy.backend_request import DEADLINE_MARGIN_S, BackendRequest, encode_request
+from irisdeal.proxy.backend_request import DEADLINE_MARGIN_S, BackendRequest, encode_head, split_body
 from irisdeal.proxy.connection_pool import ConnectionPool
 from irisdeal.proxy.drain_plan import DrainState
 from irisdeal.proxy.metrics import ProxyMetrics
@@ -76,13 +76,16 @@
         self.started_at = services.loop.time()
         permit, request = admitted.permit, admitted.request
         remaining_s = admitted.deadline - self.started_at
+        body_with_head, body = split_body(request)
         self.backend_request = BackendRequest(
-            encode_request(request, placed.backend, admitted.tenant, remaining_s),
+            encode_head(request, placed.backend, admitted.tenant, remaining_s) + body_with_head,
             admitted.attempt_id,
             request.is_head,
             admitted.route.is_mutating,
             admitted.deadline - DEADLINE_MARGIN_S,
             permit.consume() if permit is not None else float("inf"),
+            body=body,
+            memory=request.memory,
         )
         services.choice.record_start(placed.backend, self.started_at)
         self.task = services.tasks.start(services.pool.send(placed.backend, self.backend_request))
--- a/irisdeal/proxy/attempt_outcome.py
+++ b/irisdeal/proxy/attempt_outcome.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from irisdeal.http1.body import Blocks
 from irisdeal.http1.framing import Headers
 
 
@@ -36,7 +37,12 @@
     reason: str = ""
     status: int = 0
     headers: Headers = field(default_factory=list)
-    body: bytes = b""
+    blocks: Blocks = ()
     retry_after: bytes = b""
     is_misdirected: bool = False
     is_timed_out: bool = False
+
+    @property
+    def body(self) -> bytes:
+        """The whole body of the response; a long one is copied."""
+        return b"".join(self.blocks)
--- a/irisdeal/proxy/backend_connection.py
+++ b/irisdeal/proxy/backend_connection.py
@@ -14,16 +14,19 @@
 
 import httptools
 
+from irisdeal.http1.body import SMALL_BODY_BYTES, BodyCollector
 from irisdeal.http1.framing import HOP_BY_HOP_FIELDS, OWS, Headers
 from irisdeal.load_balancing.backend_choice import Backend
 from irisdeal.proxy.attempt_outcome import AttemptEnd, AttemptOutcome
 from irisdeal.proxy.backend_request import BackendRequest
 from irisdeal.runtime.events import Event, log_event
+from irisdeal.runtime.memory_budget import MemoryLease
 
 MAX_IDLE_S = 8.5  # if the backend sends no Keep-Alive header
 KEEP_ALIVE_SHARE = 0.85  # used share of the idle time that the backend states in Keep-Alive
 MAX_BODY_BYTES = 64 << 20  # of a response
 MAX_HEAD_BYTES = 32768
+RESERVATION_STEP_BYTES = 1 << 20  # of memory for a response of unknown length
 # Clients may retry after these statuses, so the backend must state that it did not execute the request.
 NOT_EXECUTED_STATUSES = (408, 429, 503)
 MISDIRECTED_STATUS = 421
@@ -47,12 +50,15 @@
         self.request_count = 0  # requests written
         self.is_mutating = True  # kind of request that TCP_USER_TIMEOUT is set for
         self.idle_since, self.max_idle_s = 0.0, MAX_IDLE_S
+        self.memory: MemoryLease | None = None  # of the client's request in progress
+        self.is_paused = False  # reading waits for memory
         self._reset_response()
 
     def _reset_response(self) -> None:
         self.headers: Headers = []
-        self.body_chunks: list[bytes] = []
-        self.body_size = self.head_size = 0
+        self.body = BodyCollector()
+        self.head_size = self.content_length = 0
+        self.reserved_bytes = SMALL_BODY_BYTES  # length up to which the body may grow without a reservation
         self.has_started = self.is_complete = self.has_length = self.is_past_headers = False
 
     # One request
@@ -64,10 +70,13 @@
             self._set_user_timeout(self.transport, request.is_mutating)
         self.response = asyncio.get_running_loop().create_future()
         self.attempt_id, self.is_bodiless = request.attempt_id, request.is_bodiless
+        self.memory = request.memory
         self._reset_response()
         self.request_count += 1
         request.is_sent = True
         self.transport.write(request.message)
+        for block in request.body:
+            self.transport.write(block)
         return self.response
 
     def _set_user_timeout(self, transport: asyncio.Transport, is_mutating: bool) -> None:
@@ -78,7 +87,9 @@
 
     def _finish(self, outcome: AttemptOutcome, keep_open: bool) -> None:
         response, self.response = self.response, None
-        if not keep_open:
+        if keep_open:
+            self._resume_reading()
+        else:
             self.drop()
         if response is not None and not response.done():
             response.set_result(outcome)
@@ -182,7 +193,7 @@
 
     def _response_outcome(self) -> AttemptOutcome:
         headers = [field for field in self.headers if field[0].lower() not in HOP_BY_HOP_FIELDS]
-        return AttemptOutcome(AttemptEnd.RESPONSE, "", self.status, headers, b"".join(self.body_chunks))
+        return AttemptOutcome(AttemptEnd.RESPONSE, "", self.status, headers, self.body.take())
 
     def _violation(self, headers_by_name: dict[bytes, bytes], attempt_id: bytes | None) -> str | None:
         """Return how the response violates the backends' protocol; None if it does not."""
@@ -212,6 +223,8 @@
             return
         if name.lower() in (b"content-length", b"transfer-encoding"):
             self.has_length = True
+            if value.strip(OWS).isdigit():
+                self.content_length = int(value)
         self.headers.append((name, value.strip(OWS)))
 
     def on_headers_complete(self) -> None:
@@ -223,10 +236,26 @@
 
     def on_body(self, body: bytes) -> None:
         """Store a chunk of the body. Raises ValueError if the body is too long or must be empty."""
-        self.body_size += len(body)
-        if self.body_size > MAX_BODY_BYTES or self.is_bodiless:
+        if self.body.size + len(body) > MAX_BODY_BYTES or self.is_bodiless:
             raise ValueError("a body that is too long or has no place")
-        self.body_chunks.append(body)
+        self.body.append(body)
+        if self.body.size > self.reserved_bytes:
+            self._reserve_memory()
+
+    def _reserve_memory(self) -> None:
+        """Reserve memory for the rest of the body or its next part; pause reading until it is granted."""
+        wanted = max(min(self.content_length, MAX_BODY_BYTES), self.body.size + RESERVATION_STEP_BYTES)
+        size, self.reserved_bytes = wanted - self.reserved_bytes, wanted
+        if self.memory is None or self.memory.reserve(size, self._resume_reading):
+            return
+        if self.transport is not None:
+            self.is_paused = True
+            self.transport.pause_reading()
+
+    def _resume_reading(self) -> None:
+        if self.is_paused and self.transport is not None and not self.transport.is_closing():
+            self.transport.resume_reading()
+        self.is_paused = False
 
     def on_message_complete(self) -> None:
         """Complete the response, unless it is an interim response (1xx) or its length is unknown."""
--- a/irisdeal/proxy/backend_request.py
+++ b/irisdeal/proxy/backend_request.py
@@ -4,9 +4,11 @@
 
 from dataclasses import dataclass
 
+from irisdeal.http1.body import SMALL_BODY_BYTES, Blocks
 from irisdeal.http1.framing import HOP_BY_HOP_FIELDS, normalized_field_name
 from irisdeal.http1.messages import Request
 from irisdeal.load_balancing.backend_choice import Backend
+from irisdeal.runtime.memory_budget import MemoryLease
 
 GATEWAY_HEADERS = frozenset(
     (b"x-irisdeal-target-backend", b"x-irisdeal-tenant", b"x-irisdeal-deadline-ms", b"authorization")
@@ -20,6 +22,7 @@
 class BackendRequest:
     """The request of one attempt. Times are in s on the loop's clock.
 
+    `body`: the part of the body that follows `message`; `memory`: lease for the response, None without a budget;
     `deadline`: after which no response is awaited; `send_by`: after which nothing is written; `is_sent`:
     whether a byte of it may have left this process.
     """
@@ -31,10 +34,19 @@
     deadline: float
     send_by: float = float("inf")
     is_sent: bool = False
+    body: Blocks = ()
+    memory: MemoryLease | None = None
 
 
-def encode_request(request: Request, backend: Backend, tenant: str, remaining_s: float) -> bytes:
-    """Return the request's bytes with the gateway's own headers.
+def split_body(request: Request) -> tuple[bytes, Blocks]:
+    """Return the part of the body that is sent with the head, and the rest; a long body is not copied."""
+    if request.body_size <= SMALL_BODY_BYTES:
+        return request.body, ()
+    return b"", request.blocks
+
+
+def encode_head(request: Request, backend: Backend, tenant: str, remaining_s: float) -> bytes:
+    """Return the request's head with the gateway's own headers.
 
     `tenant`: empty if the request has none; `remaining_s`: time until the request's deadline.
     """
@@ -49,7 +61,7 @@
     lines.append(b"X-Irisdeal-Target-Backend: %s\r\n" % backend.id.encode())
     if tenant:
         lines.append(b"X-Irisdeal-Tenant: %s\r\n" % tenant.encode())
-    if request.body or request.method not in BODILESS_METHODS:
-        lines.append(b"Content-Length: %d\r\n" % len(request.body))
+    if request.blocks or request.method not in BODILESS_METHODS:
+        lines.append(b"Content-Length: %d\r\n" % request.body_size)
     lines.append(b"\r\n")
-    return b"".join(lines) + request.body
+    return b"".join(lines)
--- a/irisdeal/proxy/process.py
+++ b/irisdeal/proxy/process.py
@@ -27,6 +27,7 @@
 from irisdeal.registry.incarnation import BackendIncarnation
 from irisdeal.runtime.early_listen import ListeningSockets
 from irisdeal.runtime.events import Event, log_event
+from irisdeal.runtime.memory_budget import MemoryBudget
 from irisdeal.runtime.process import Tasks
 from irisdeal.runtime.settings import Settings, parse_address
 
@@ -59,7 +60,8 @@
         self.drain = DrainState()
         self.metrics = ProxyMetrics()
         self.handler = RequestHandler(self._attempt_services(), self.admission, self.rng)
-        self.http_server = HttpServer(self.handler.serve, self.loop, cancels_on_eof=True)
+        budget = MemoryBudget.of_limit(settings.limits.memory_mb)
+        self.http_server = HttpServer(self.handler.serve, self.loop, cancels_on_eof=True, budget=budget)
         self.readiness = HttpServer(self._serve_readiness, self.loop)
         self.metrics_server = MetricsServer(settings, self.metrics, self.loop)
         self.http_server.on_client_disconnected = lambda request: self.metrics.departures.add(
--- a/irisdeal/proxy/request_attempts.py
+++ b/irisdeal/proxy/request_attempts.py
@@ -216,7 +216,7 @@
         self.last_outcome = outcome
         match outcome.end:
             case AttemptEnd.RESPONSE if self.admitted.route.is_mutating or outcome.status < 500:
-                return Response(outcome.status, outcome.body, outcome.headers)
+                return Response(outcome.status, outcome.blocks, outcome.headers)
             case AttemptEnd.RESPONSE:
                 self.server_error, self.may_have_executed = outcome, True
                 self.sent_count += 1
@@ -230,7 +230,7 @@
     def _final_response(self) -> Response:
         """Return the response after the last attempt; raise RejectionError if there is none."""
         if self.server_error is not None:
-            return Response(self.server_error.status, self.server_error.body, self.server_error.headers)
+            return Response(self.server_error.status, self.server_error.blocks, self.server_error.headers)
         if self.may_have_executed:
             is_late = self.loop.time() >= self.admitted.deadline - 2 * DEADLINE_MARGIN_S
             raise RejectionError(504 if is_late else 502, self.last_outcome.reason or "given up")
--- a/irisdeal/registry/server.py
+++ b/irisdeal/registry/server.py
@@ -42,6 +42,7 @@
 from irisdeal.rpc.server import RpcServer
 from irisdeal.runtime import ports
 from irisdeal.runtime.events import Event, log_event
+from irisdeal.runtime.memory_budget import MemoryBudget
 from irisdeal.runtime.process import Tasks, run_periodically
 from irisdeal.runtime.settings import Settings, parse_address
 
@@ -103,7 +104,8 @@
         self.server = RpcServer(
             self.handle, self.admission.answer_at_once, self.admission.placements.disconnect
         )
-        self.http = HttpServer(self.control.handle, self.loop)
+        budget = MemoryBudget.of_limit(settings.limits.memory_mb)
+        self.http = HttpServer(self.control.handle, self.loop, budget=budget)
         self.metrics_server = MetricsServer(settings, self.metrics, self.loop)
 
     def _new_peers(self, folder: Folder | None) -> RegistryPeers:
--- a/irisdeal/runtime/events.py
+++ b/irisdeal/runtime/events.py
@@ -22,6 +22,7 @@
     SETTINGS_RELOADED = 103  # E103
     SETTINGS_INVALID = 104  # E104
     TASK_FAILED = 105  # E105
+    BODY_REJECTED = 106  # E106
     VERSION_STORED = 200  # E200
     VERSION_REJECTED = 201  # E201
     VERSION_NOT_REPLICATED = 202  # E202
@@ -97,6 +98,10 @@
     Event.SETTINGS_RELOADED: (INFO, "settings reloaded"),
     Event.SETTINGS_INVALID: (ERROR, "settings are invalid"),
     Event.TASK_FAILED: (ERROR, "a task failed"),
+    Event.BODY_REJECTED: (
+        WARNING,
+        "a request with a long body was rejected while it arrived: the memory for bodies is in use",
+    ),
     Event.VERSION_STORED: (INFO, "a configuration version was stored and synced to disk"),
     Event.VERSION_REJECTED: (WARNING, "a configuration was rejected as invalid"),
     Event.VERSION_NOT_REPLICATED: (WARNING, "a configuration version did not reach a majority in time"),
--- a/tests/proxy/test_request_attempts.py
+++ b/tests/proxy/test_request_attempts.py
@@ -37,8 +37,8 @@
     bounds=("retry_slack=56",),
     bind=Bind(front="10.1.0.3:80", readiness="10.1.0.3:81"),
 )
-GOOD = AttemptOutcome(AttemptEnd.RESPONSE, "", 200, [(b"X-Irisdeal-Backend-Seal", b"s")], b"body")
-SERVER_ERROR = AttemptOutcome(AttemptEnd.RESPONSE, "", 500, [], b"")
+GOOD = AttemptOutcome(AttemptEnd.RESPONSE, "", 200, [(b"X-Irisdeal-Backend-Seal", b"s")], (b"body",))
+SERVER_ERROR = AttemptOutcome(AttemptEnd.RESPONSE, "", 500)
 LOST = AttemptOutcome(AttemptEnd.MAY_HAVE_EXECUTED, "cut")
 UNSENT = AttemptOutcome(AttemptEnd.NOT_SENT, "refused")
 NOT_EXECUTED = AttemptOutcome(AttemptEnd.NOT_EXECUTED, "full", 503)
--- a/tests/rpc/test_call_matching.py
+++ b/tests/rpc/test_call_matching.py
@@ -420,9 +420,7 @@
 
 def _any_answer(self: BackendConnection, has_trailing_bytes: bool) -> None:
     headers = [field for field in self.headers if field[0].lower() != b"content-length"]
-    self._finish(
-        AttemptOutcome(AttemptEnd.RESPONSE, "", self.status, headers, b"".join(self.body_chunks)), True
-    )
+    self._finish(AttemptOutcome(AttemptEnd.RESPONSE, "", self.status, headers, self.body.take()), True)
 
 
 def _deliver_to_any_waiter(self: BackendConnection, data: bytes) -> None:
