--- a/irisdeal/simulation/quota/world.py
+++ b/irisdeal/simulation/quota/world.py
@@ -59,8 +59,12 @@
         self.configuration = TenantConfiguration(0, {}, {})
         self.judges: dict[str, QuotaJudge] = {}
         self._add_tenant(TENANT, Limit(rate, rate if burst is None else burst))
-        # Registries are notified of each version, and proxies also apply versions that were replaced meanwhile.
+        # Registries are notified of each version, and proxies also apply versions that were replaced meanwhile; a
+        # limit binds only once no proxy has an older one.
         self.applies_each_version = False
+        self.unapplied: list[
+            tuple[int, QuotaJudge, int]
+        ] = []  # version, and the setting of a judge that awaits it
         self.events: list[tuple[float, int, Callable[..., None], tuple[object, ...]]] = []
         self.number = self.incarnations = 0
         self.asked = self.refused = 0
@@ -208,6 +212,9 @@
         """Decide another limit of a tenant, or add one that was removed; a rate of 0 is no limit."""
         self.judges[tenant].record_limit(self.time, rate, burst)
         self._decide_configuration({**self.configuration.limits, tenant: Limit(rate, burst)})
+        if self.applies_each_version:
+            judge = self.judges[tenant]
+            self.unapplied.append((self.configuration.number, judge, judge.await_proxies()))
 
     def remove_tenant(self, tenant: str) -> None:
         """Decide a configuration without the tenant; proxies run its requests until they apply it."""
@@ -242,6 +249,17 @@
             self.at(self.time + 0.3, self._apply, number, configuration)
         else:
             proxy.configure(configuration)
+            self._record_in_force()
+
+    def _record_in_force(self) -> None:
+        """Record the settings that are in force at all proxies by now."""
+        if not self.unapplied:
+            return
+        oldest = min(proxy.configuration.number for proxy in self.proxies)
+        for version, judge, setting in self.unapplied:
+            if version <= oldest:
+                judge.record_in_force(setting, self.time)
+        self.unapplied = [each for each in self.unapplied if each[0] > oldest]
 
     # Between registries
 
