Quota processes: a tenant that comes and goes in an overload

Need: the cause of QUOTA was shown at one issuer and in virtual time; the users saw it with real processes. Change: twelve absences of a moment each, between configurations that are acknowledged, in an overload of three proxies.

--- a/tests/permits/test_quota_processes.py
+++ b/tests/permits/test_quota_processes.py
@@ -15,6 +15,7 @@
 import subprocess
 import sys
 import time
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -33,6 +34,9 @@
 FLOOD_PER_S = 60  # requests sent to each proxy
 MAX_STARTUP_S = 12.0
 FLOOD_S = 13.0
+ABSENCES_FROM_S = 2.0
+ABSENCE_COUNT = 12
+ABSENCE_GAP_S = 0.25
 SETTINGS = """
 node_name = "{name}"
 role = "{role}"
@@ -217,7 +221,37 @@
     third.set_blocked(False, False)
 
 
-async def play(processes: Processes) -> float:
+def configuration(number: int, has_tenant: bool = True) -> bytes:
+    """Return a configuration with one route, and the tenant or another one in its place."""
+    rule = {
+        "name": "r",
+        "kind": "mutating",
+        "target_ms": 400,
+        "pattern": {"path_prefix": "/a/"},
+        "effect": {"service": "s", "timeout_ms": 1000, "max_tries": 2},
+    }
+    tenant = {"name": "t", "api_keys": ["k"], "rate_per_s": RATE_PER_S, "burst": RATE_PER_S}
+    return json.dumps(
+        {
+            "generation": f"r{number}",
+            "pools": [{"name": "s"}],
+            "sockets": [{"hostname": "h", "rules": [rule]}],
+            "tenants": [tenant if has_tenant else {"name": "other", "api_keys": ["other"]}],
+        }
+    ).encode()
+
+
+async def play_absences(processes: Processes) -> None:
+    """Remove the tenant for a moment and add it again, several times in the overload."""
+    await asyncio.sleep(ABSENCES_FROM_S)
+    for number in range(ABSENCE_COUNT):
+        for version, has_tenant in ((2 * number + 2, False), (2 * number + 3, True)):
+            body = configuration(version, has_tenant)
+            assert await call(CORE_IP, CONTROL_PORT, "POST /config/replace", body) == 200
+        await asyncio.sleep(ABSENCE_GAP_S)
+
+
+async def play(processes: Processes, faults: Callable[[Processes], Awaitable[None]]) -> float:
     """Start all processes and play the overload with faults; return when the overload began."""
     rng = random.Random(5)
     await processes.open_gates()
@@ -226,21 +260,7 @@
     processes.start("registry", CORE_IP, first=True)
     heartbeats = asyncio.ensure_future(send_heartbeats())
     try:
-        rule = {
-            "name": "r",
-            "kind": "mutating",
-            "target_ms": 400,
-            "pattern": {"path_prefix": "/a/"},
-            "effect": {"service": "s", "timeout_ms": 1000, "max_tries": 2},
-        }
-        body = json.dumps(
-            {
-                "generation": "r1",
-                "pools": [{"name": "s"}],
-                "sockets": [{"hostname": "h", "rules": [rule]}],
-                "tenants": [{"name": "t", "api_keys": ["k"], "rate_per_s": RATE_PER_S, "burst": RATE_PER_S}],
-            }
-        ).encode()
+        body = configuration(1)
         started_by = time.monotonic() + MAX_STARTUP_S
         while await call(CORE_IP, CONTROL_PORT, "POST /config/replace", body) != 200:
             assert time.monotonic() < started_by, "the store accepts no configuration"
@@ -254,7 +274,7 @@
                 await asyncio.sleep(0.1)
         began = time.monotonic()
         await asyncio.gather(
-            play_faults(processes),
+            faults(processes),
             *(flood(processes, proxy_ip, began + FLOOD_S, rng) for proxy_ip in PROXY_IPS),
         )
         return began
@@ -266,8 +286,18 @@
 
 def test_processes_keep_a_limit_under_overload_partitions_and_kills(tmp_path: Path) -> None:
     processes = Processes(tmp_path)
-    began = asyncio.run(play(processes))
+    began = asyncio.run(play(processes, play_faults))
     judge = processes.judge
     assert judge.worst() <= 1.0
     assert processes.sent_count >= 5 * RATE_PER_S * FLOOD_S, "not an overload"
     assert judge.served(began, began + FLOOD_S) >= 0.5 * RATE_PER_S * FLOOD_S
+
+
+# Guards against QUOTA: each time that a tenant was added again, a registry issued a full stock of permits.
+def test_processes_keep_the_limit_of_a_tenant_that_comes_and_goes(tmp_path: Path) -> None:
+    processes = Processes(tmp_path)
+    began = asyncio.run(play(processes, play_absences))
+    judge = processes.judge
+    assert judge.worst() <= 1.0
+    assert processes.sent_count >= 5 * RATE_PER_S * FLOOD_S, "not an overload"
+    assert judge.served(began, began + FLOOD_S) >= 0.3 * RATE_PER_S * FLOOD_S
