Reject a heartbeat whose warmup_left_ms is not a finite number

A registry stopped replicating heartbeats for good after one such call, as an infinite time cannot be sent to the others (read by the review, now brought about as a rejected call). Cause: JSON of Python takes Infinity and NaN. Change: 400 with what was wanted, the one place where such a value can come in. Result: the four new cases were accepted before and get 400 now.

--- a/irisdeal/registry/commands.py
+++ b/irisdeal/registry/commands.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 import re
 from dataclasses import dataclass
 from typing import Any
@@ -101,6 +102,8 @@
         heartbeat = dacite.from_dict(Heartbeat, {**data, "id": id_}, dacite.Config(type_hooks={float: float}))
         if heartbeat.state not in ("ready", "draining"):
             raise ValueError(f"state: wanted ready or draining, got {heartbeat.state!r}")
+        if not math.isfinite(heartbeat.warmup_left_ms):
+            raise ValueError(f"warmup_left_ms: wanted a finite number, got {heartbeat.warmup_left_ms}")
         parse_address(heartbeat.address)
     except (dacite.DaciteError, ValueError, TypeError) as error:
         return Failure(RejectedCall(400, OperationError("heartbeat", id_, str(error))))
--- a/tests/registry/test_server.py
+++ b/tests/registry/test_server.py
@@ -9,10 +9,12 @@
 from typing import Any
 
 import pytest
+from returns.result import Failure
 
 from irisdeal.config_store.storage.chunks import SyncState
 from irisdeal.http1.messages import Request, Response
 from irisdeal.registry import store_client as store_client_constants
+from irisdeal.registry.commands import decode
 from irisdeal.registry.incarnation import BackendIncarnation, BackendState
 from irisdeal.registry.messages import WatchReply, WatchRequest
 from irisdeal.registry.peers import SYNC_TIMEOUT_S
@@ -242,3 +244,12 @@
     assert server.backends.observe(
         BackendIncarnation("i-3", "s", "a:1", "z0", 1, BackendState.READY, 1, 0.0), 1.0
     )
+
+
+# Guards against heartbeats that stop being replicated: an infinite time cannot be sent to the other registries.
+@pytest.mark.parametrize("warmup", ["Infinity", "-Infinity", "NaN", "1e999"])
+def test_a_heartbeat_with_a_time_that_is_no_number_is_rejected(warmup: str) -> None:
+    body = b'{"service":"s","address":"10.9.0.1:80","zone":"z","capacity":2,"state":"ready",'
+    body += b'"call_count":1,"warmup_left_ms":' + warmup.encode() + b"}"
+    decoded = decode(b"POST", b"/backends/i/heartbeat", body)
+    assert isinstance(decoded, Failure) and decoded.failure().status == 400
