Record an end of a backend although the table changes before its turn to write

Cause: the record was handed an iterator over the table, which was used only after a wait. Change: it gets a function that returns the incarnations, called when a write starts.

--- a/irisdeal/registry/peers.py
+++ b/irisdeal/registry/peers.py
@@ -108,7 +108,7 @@
             self.backends.observe(incarnation, self.loop.time())
         self.is_complete = self.is_complete or recorded is not None
         if recorded is None and self.is_complete:
-            await record.initialize(self._incarnations())
+            await record.initialize(self._incarnations)
 
     async def synchronize(self) -> None:
         """Fetch all backends from enough of the other registries.
@@ -159,7 +159,7 @@
         """Mark the table as complete, and start recording to disk."""
         if not self.is_complete:
             if self.record is not None:
-                await self.record.initialize(self._incarnations())
+                await self.record.initialize(self._incarnations)
             self.is_complete = True
 
     def merge(self, observed: Iterable[ObservedIncarnation]) -> None:
@@ -193,7 +193,7 @@
 
     async def _record(self, incarnations: Iterable[BackendIncarnation]) -> bool:
         """Return whether the draining and gone ones of these incarnations are synced to this machine's disk."""
-        return self.record is None or await self.record.save(incarnations, self._incarnations())
+        return self.record is None or await self.record.save(incarnations, self._incarnations)
 
     # Replicating to the others
 
--- a/irisdeal/registry/tombstone_record.py
+++ b/irisdeal/registry/tombstone_record.py
@@ -10,7 +10,7 @@
 
 import asyncio
 import hashlib
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import cbor2
@@ -25,6 +25,9 @@
 FILE_NAME = "ended"
 MAGIC = b"irisdeal-ended-1 "
 
+# Returns all incarnations of the table, which may change while a caller waits for its turn to write
+KnownIncarnations = Callable[[], Iterable[BackendIncarnation]]
+
 
 def encode(incarnations: Iterable[BackendIncarnation]) -> bytes:
     """Return the content of the file: a line with the magic and the SHA-256 of the rest, then CBOR."""
@@ -74,12 +77,10 @@
         """Return whether this state of an incarnation is on disk, or need not be recorded."""
         return incarnation.state <= self.recorded.get(incarnation.id, BackendState.READY)
 
-    async def save(
-        self, incarnations: Iterable[BackendIncarnation], known: Iterable[BackendIncarnation]
-    ) -> bool:
+    async def save(self, incarnations: Iterable[BackendIncarnation], known: KnownIncarnations) -> bool:
         """Write these states if needed; return whether they are synced to disk.
 
-        `known`: all incarnations of the table, iterated when a write starts.
+        `known`: returns all incarnations of the table; called when a write starts.
         """
         wanted = list(incarnations)
         if all(map(self.has, wanted)):
@@ -89,7 +90,7 @@
                 return True
             return await self._write(known) and all(map(self.has, wanted))
 
-    async def initialize(self, known: Iterable[BackendIncarnation]) -> bool:
+    async def initialize(self, known: KnownIncarnations) -> bool:
         """Write the record, even without tombstones.
 
         From now on the file proves that this machine has lost no acknowledged drain or end.
@@ -97,8 +98,8 @@
         async with self.lock:
             return await self._write(known)
 
-    async def _write(self, known: Iterable[BackendIncarnation]) -> bool:
-        ended = [incarnation for incarnation in known if incarnation.state > BackendState.READY]
+    async def _write(self, known: KnownIncarnations) -> bool:
+        ended = [incarnation for incarnation in known() if incarnation.state > BackendState.READY]
         try:
             loop = asyncio.get_running_loop()
             await loop.run_in_executor(None, write_atomically, self.folder, FILE_NAME, encode(ended))
--- a/tests/registry/test_acknowledged_drains.py
+++ b/tests/registry/test_acknowledged_drains.py
@@ -6,16 +6,19 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import random
 from collections.abc import Coroutine
 from functools import partial
+from types import SimpleNamespace
 from typing import Any, cast
 
 import pytest
 
 from irisdeal.config_store.storage.version_files import write_atomically
 from irisdeal.registry import tombstone_record
+from irisdeal.registry.backend_table import BackendTable
 from irisdeal.registry.incarnation import BackendIncarnation, BackendState, ObservedIncarnation
 from irisdeal.registry.peers import CALL_TIMEOUT_S, RegistryPeers
 from irisdeal.registry.server import RegistryServer
@@ -187,3 +190,28 @@
         for after in disk.outcomes():
             seen.add(len(tombstone_record.decode(after.read(tombstone_record.FILE_NAME))))
     assert seen == {1, 2}
+
+
+# Guards against a drain that is answered 503: the table changed while its record waited for another write.
+def test_an_end_is_recorded_although_the_table_changes_meanwhile() -> None:
+    async def play() -> None:
+        record, table = TombstoneRecord(MemoryDisk()), BackendTable(1.5)
+
+        peers = SimpleNamespace(record=record, backends=table)
+        peers._incarnations = partial(RegistryPeers._incarnations, cast(RegistryPeers, peers))
+
+        def end(id_: str) -> BackendIncarnation:
+            gone = BackendIncarnation(id_, "s", "10.9.0.1:80", "z", 2, BackendState.GONE, 1, 0.0)
+            table.observe(gone, 0.0)
+            return gone
+
+        writes = []
+        for number in range(4):
+            writes.append(
+                asyncio.create_task(RegistryPeers._record(cast(RegistryPeers, peers), [end(f"i{number}")]))
+            )
+            await asyncio.sleep(0)
+        assert await asyncio.gather(*writes) == [True] * 4
+        assert set(record.recorded) == {"i0", "i1", "i2", "i3"}
+
+    asyncio.run(play())
--- a/tests/support/disk_formats.py
+++ b/tests/support/disk_formats.py
@@ -182,9 +182,9 @@
 async def write_tombstones(path: Path, ended: list[BackendIncarnation]) -> None:
     record = tombstone_record(path)
     if ended:
-        assert await record.save(ended, [*ended, ready_incarnation()])
+        assert await record.save(ended, lambda: [*ended, ready_incarnation()])
     else:
-        assert await record.initialize([ready_incarnation()])
+        assert await record.initialize(lambda: [ready_incarnation()])
 
 
 def write_issuers(path: Path, issuer_list: IssuerList) -> None:
