Memory of bodies: a released lease holds nothing; sent responses release theirs

Change: a lease is released once and for all; a response releases its lease once its bytes are out, also without a pause. Result: tests for both, which fail without the change (read for the second: it wanted resume_writing).

--- a/irisdeal/http1/connection.py
+++ b/irisdeal/http1/connection.py
@@ -239,12 +239,15 @@
 
     def _release_once_sent(self, request: Request, response: Response) -> None:
         """Release a request's memory; that of a long response once the client has received it."""
-        is_long = response.body_size > SMALL_BODY_BYTES and self.transport is not None
-        if is_long and request.memory is not None and request.memory.held_bytes:
+        is_long = response.body_size > SMALL_BODY_BYTES
+        if is_long and request.memory is not None and self._has_unsent_bytes():
             self.unsent_memory.append(request.memory)
         else:
             self._release(request)
 
+    def _has_unsent_bytes(self) -> bool:
+        return self.transport is not None and self.transport.get_write_buffer_size() > 0
+
     # Responses
 
     def _serve_next(self) -> None:
@@ -354,6 +357,8 @@
 
     def check_timeouts(self, now: float) -> None:
         """Close if the client exceeds a timeout. `now`: s on the loop's clock."""
+        if self.unsent_memory and not self._has_unsent_bytes():
+            self.resume_writing()
         if self.transport is None or self.unanswered() or self.memory_timer is not None:
             return
         unsent_bytes = self.transport.get_write_buffer_size()
--- a/irisdeal/runtime/memory_budget.py
+++ b/irisdeal/runtime/memory_budget.py
@@ -56,16 +56,21 @@
 
 
 class MemoryLease:
-    """The memory of one request; it holds nothing until the first reservation."""
+    """The memory of one request; it holds nothing until the first reservation, and nothing after its release."""
 
-    __slots__ = ("budget", "held_bytes", "waiting")
+    __slots__ = ("budget", "held_bytes", "is_released", "waiting")
 
     def __init__(self, budget: MemoryBudget) -> None:
-        self.budget, self.held_bytes = budget, 0
+        self.budget, self.held_bytes, self.is_released = budget, 0, False
         self.waiting: deque[Reservation] = deque()
 
     def reserve(self, size: int, on_granted: Callable[[], None]) -> bool:
-        """Reserve memory; if it does not fit now, return False and call `on_granted` later."""
+        """Reserve memory; if it does not fit now, return False and call `on_granted` later.
+
+        After the release, bytes of an abandoned attempt may still arrive; they are discarded and count as nothing.
+        """
+        if self.is_released:
+            return True
         self.budget.leases.setdefault(self)
         is_first = not self.waiting and not self._is_any_older_waiting()
         if is_first and self.budget.may_grant(self, size):
@@ -89,6 +94,7 @@
 
     def release(self) -> None:
         """Return all memory and give up waiting reservations; others are granted in turn."""
+        self.is_released = True
         if self not in self.budget.leases:
             return
         del self.budget.leases[self]
--- a/tests/http1/test_body_memory.py
+++ b/tests/http1/test_body_memory.py
@@ -34,6 +34,7 @@
 
     def __init__(self) -> None:
         self.is_paused = self.is_closed = False
+        self.unsent_bytes = 0
         self.written: list[bytes] = []
 
     def get_extra_info(self, _: str) -> Any:
@@ -60,7 +61,7 @@
         pass
 
     def get_write_buffer_size(self) -> int:
-        return 0
+        return self.unsent_bytes
 
     def is_closing(self) -> bool:
         return self.is_closed
@@ -275,11 +276,15 @@
         upload(client, transport)
         await rig.settle()
         rig.response = Response(200, (PIECE, PIECE))
+        transport.unsent_bytes = 1
         rig.finish.set()
         await rig.settle()
         assert b"".join(transport.written).endswith(PIECE + PIECE)
         assert rig.budget.used_bytes > 0
-        client.resume_writing()
-        assert rig.budget.used_bytes == 0
+        client.check_timeouts(0.0)
+        assert rig.budget.used_bytes > 0
+        transport.unsent_bytes = 0  # all was sent without a pause of the protocol
+        client.check_timeouts(0.0)
+        assert rig.budget.used_bytes == 0 and not rig.budget.leases
 
     play(scenario)
--- a/tests/runtime/test_memory_budget.py
+++ b/tests/runtime/test_memory_budget.py
@@ -76,3 +76,13 @@
     large = MemoryLease(budget)
     assert large.reserve(3 * CAPACITY, lambda: None)
     assert not MemoryLease(budget).reserve(1, lambda: None)
+
+
+# Guards against a budget that is used up for good: bytes of an abandoned attempt that come after the release.
+def test_a_released_lease_holds_nothing_any_more() -> None:
+    budget = MemoryBudget(CAPACITY)
+    lease = MemoryLease(budget)
+    assert lease.reserve(CAPACITY, lambda: None)
+    lease.release()
+    assert lease.reserve(CAPACITY, lambda: None)
+    assert budget.used_bytes == 0 and not budget.leases
