--- a/review/standins-2/loopback_site.py
+++ b/review/standins-2/loopback_site.py
@@ -16,6 +16,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
@@ -65,6 +66,12 @@
     raise RuntimeError("no free ports")
 
 
+def end_in_order(number: int, frame: object) -> None:
+    """End this program by an exception, so that the programs which it has started are ended too."""
+    signal.signal(number, signal.SIG_IGN)
+    sys.exit(2)
+
+
 class Process:
     """One program of one machine."""
 
@@ -171,6 +178,7 @@
 
     def __init__(self, cores: int, edges: int, net: int, memory_mb: int = 300, tolerance: int = 1) -> None:
         """`net`: third number of the loopback addresses of this site."""
+        signal.signal(signal.SIGTERM, end_in_order)
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.core_ips = [f"127.9.{net}.{10 + index}" for index in range(cores)]
         self.edge_ips = [f"127.9.{net}.{50 + index}" for index in range(edges)]
