Reproduce the ends of processes: a soak of starts, stops and signals, and red tests

Cause: nothing in the suite starts real processes and sends them signals while they start or end, holds their addresses, or looks at their exit codes; no test adds up all that a request with a long body may hold.

The processes of the quota soak move to a module that both use.

--- /dev/null
+++ b/benchmarks/process_soak/__init__.py
@@ -0,0 +1,1 @@
+"""A soak of process starts, stops and signals: `python -m benchmarks.process_soak`."""
--- a/benchmarks/quota_soak.py
+++ b/benchmarks/quota_soak.py
@@ -12,10 +12,8 @@
 import asyncio
 import contextlib
 import json
-import os
 import random
 import signal
-import subprocess
 import sys
 import tempfile
 import time
@@ -23,119 +21,24 @@
 from pathlib import Path
 from typing import Any
 
+from benchmarks.loopback_deployment import (
+    BACKEND_PORT,
+    FRONT_PORT,
+    Deployment,
+    call_control,
+    heartbeat,
+    read_message,
+    success,
+)
 from irisdeal.permits.allowance import Limit
 from irisdeal.simulation.quota.judge import QuotaJudge
 
-ROOT = Path(__file__).parents[1]
-CORE_COUNT = 4
 LIMITS = {"t0": Limit(20.0, 20.0), "t1": Limit(4.0, 60.0), "t2": Limit(3.0)}
 FLOOD_FACTOR = 9.0
 CONNECTIONS = 2  # of each tenant to each proxy
-PORT_RANGE = (17_300, 17_319)
-CONTROL_PORT, FRONT_PORT, READINESS_PORT, BACKEND_PORT = 17_330, 17_331, 17_332, 17_333
 START_TIMEOUT_S = 30.0
 REQUEST_TIMEOUT_S = 1.5
 ABSENT_S = 0.05
-SETTINGS = """
-node_name = "{role}-{ip}"
-role = "{role}"
-ip = "{ip}"
-zone = "{zone}"
-port_range = [{ports[0]}, {ports[1]}]
-seed_peers = {seeds}
-bootstrap = {is_first}
-counted = true
-beat_interval_ms = 500
-data_path = "{disk}"
-bounds = ["contact_ms=5000", "apply_ms=3000", "sync_s=6", "grace_s=6"]
-[zones]
-{zones}
-[bind]
-front = "{ip}:{front}"
-readiness = "{ip}:{readiness}"
-control = "{ip}:{control}"
-"""
-
-
-class Deployment:
-    """The processes of one run; `network`: second octet of their addresses."""
-
-    def __init__(self, folder: Path, network: int, proxies: int) -> None:
-        self.folder = folder
-        self.cores = [f"127.{network}.0.{number + 1}" for number in range(CORE_COUNT)]
-        self.proxies = [f"127.{network}.1.{number + 1}" for number in range(proxies)]
-        self.backend = f"127.{network}.2.1"
-        self.running: dict[tuple[str, str], subprocess.Popen[bytes]] = {}
-
-    def start(self, role: str, ip: str, is_first: bool = False) -> None:
-        """Start a process."""
-        is_core = ip in self.cores
-        number = int(ip.rpartition(".")[2])
-        settings = self.folder / f"{role}-{ip}.toml"
-        settings.write_text(
-            SETTINGS.format(
-                role=role,
-                ip=ip,
-                zone=f"z{number % CORE_COUNT}",
-                ports=PORT_RANGE,
-                seeds=json.dumps([f"{core}:{CONTROL_PORT}" for core in self.cores[:3]]),
-                is_first=json.dumps(is_first),
-                disk=self.folder / f"disk-{ip}" if is_core else "",
-                zones="\n".join(f'z{zone} = "r"' for zone in range(CORE_COUNT)),
-                front=FRONT_PORT,
-                readiness=READINESS_PORT,
-                control=CONTROL_PORT,
-            )
-        )
-        with (self.folder / f"{role}-{ip}.log").open("ab") as log:
-            self.running[role, ip] = subprocess.Popen(
-                [sys.executable, "-m", f"irisdeal.{role}"],
-                cwd=ROOT,
-                stdout=log,
-                stderr=log,
-                env={**os.environ, "IRISDEAL_SETTINGS": str(settings)},
-            )
-
-    def signal(self, role: str, ip: str, number: signal.Signals) -> None:
-        """Send a signal to a process."""
-        with contextlib.suppress(ProcessLookupError):
-            self.running[role, ip].send_signal(number)
-
-    async def wait(self, role: str, ip: str) -> None:
-        """Wait for the end of a process that was told to end."""
-        process = self.running[role, ip]
-        while process.poll() is None:
-            await asyncio.sleep(0.02)
-
-    def stop(self) -> None:
-        """End all processes."""
-        for process in self.running.values():
-            process.kill()
-        for process in self.running.values():
-            process.wait(5)
-
-
-async def read_message(reader: asyncio.StreamReader) -> tuple[bytes, dict[bytes, bytes]]:
-    """Read a message with a length; return its first line and its headers."""
-    first, *lines = (await reader.readuntil(b"\r\n\r\n")).split(b"\r\n")
-    parts = (line.partition(b":") for line in lines if line)
-    headers = {name.lower(): value.strip() for name, _, value in parts}
-    await reader.readexactly(int(headers.get(b"content-length", b"0")))
-    return first, headers
-
-
-async def call_control(ip: str, path: str, body: bytes) -> int:
-    """Make one call of a backend or an operator; return the status, 0 without an answer."""
-    try:
-        async with asyncio.timeout(1.0):
-            reader, writer = await asyncio.open_connection(ip, CONTROL_PORT)
-            head = f"POST {path} HTTP/1.1\r\nHost: h\r\nContent-Length: {len(body)}\r\n\r\n"
-            writer.write(head.encode() + body)
-            first, _ = await read_message(reader)
-            writer.close()
-            return int(first.split()[1])
-    except (OSError, TimeoutError, asyncio.IncompleteReadError):
-        return 0
 
 
 class Soak:
@@ -186,29 +89,15 @@
                 tenant = headers.get(b"x-irisdeal-tenant", b"").decode()
                 if tenant in self.judges:
                     self.judges[tenant].record_run(time.monotonic())
-                attempt = headers[b"x-irisdeal-attempt-id"]
-                writer.write(
-                    b"HTTP/1.1 200 OK\r\nX-Irisdeal-Attempt-Id: " + attempt + b"\r\n"
-                    b"X-Irisdeal-Backend-Seal: s\r\nContent-Length: 2\r\n\r\nok"
-                )
+                writer.write(success(headers[b"x-irisdeal-attempt-id"]))
         writer.close()
 
     async def _beat(self) -> None:
         count = 0
         while True:
             count += 1
-            heartbeat = {
-                "service": "s",
-                "address": f"{self.deployment.backend}:{BACKEND_PORT}",
-                "zone": "z0",
-                "generation": "v1",
-                "capacity": 500,
-                "state": "ready",
-                "warmup_left_ms": 0,
-                "call_count": count,
-            }
             ip = self.rng.choice(self.deployment.cores)
-            await call_control(ip, "/backends/i-1/heartbeat", json.dumps(heartbeat).encode())
+            await call_control(ip, "/backends/i-1/heartbeat", heartbeat("s", self.deployment.backend, count))
             await asyncio.sleep(0.3)
 
     async def _flood(self, ip: str, tenant: str) -> None:
--- a/tests/http1/test_body_memory.py
+++ b/tests/http1/test_body_memory.py
@@ -288,3 +288,47 @@
         assert rig.budget.used_bytes == 0 and not rig.budget.leases
 
     play(scenario)
+
+
+class Peer:
+    """A backend's connection that receives a response in pieces until its reading is paused."""
+
+    def __init__(self, lease: MemoryLease, response_bytes: int) -> None:
+        self.connection, self.transport = BackendConnection(BACKEND, lambda _: None), FakeTransport()
+        self.connection.connection_made(self.transport)  # type: ignore[arg-type]
+        request = BackendRequest(b"GET / HTTP/1.1\r\n\r\n", b"a", False, False, 1e9, memory=lease)
+        self.outcome = self.connection.start(request)
+        self.left = response_bytes
+        self.connection.data_received(
+            b"HTTP/1.1 200 OK\r\nX-Irisdeal-Attempt-Id: a\r\nX-Irisdeal-Backend-Seal: s\r\n"
+            b"Content-Length: %d\r\n\r\n" % response_bytes
+        )
+
+    def receive(self) -> bool:
+        """Receive a piece; return whether more may come now."""
+        if self.left and not self.transport.is_paused:
+            self.left -= len(PIECE)
+            self.connection.data_received(PIECE)
+        return self.left > 0 and not self.transport.is_paused
+
+
+PROGRAM_MB = 40  # what the program holds beside its bodies
+LONG_BYTES, PAYMENT_BYTES, PAYMENT_COUNT = 62 * MIB, 4 * MIB, 28
+
+
+# Guards against Fault: the body and two responses of the oldest request, beside others, exceeded the memory limit.
+@pytest.mark.parametrize("memory_mb", [200, 300])
+def test_a_long_body_with_two_long_responses_stays_within_the_limit(memory_mb: int) -> None:
+    async def scenario() -> None:
+        budget = MemoryBudget.of_limit(memory_mb)
+        long = MemoryLease(budget)
+        assert long.reserve(MIB, lambda: None)
+        for _ in range(PAYMENT_COUNT):
+            MemoryLease(budget).reserve(PAYMENT_BYTES, lambda: None)
+        assert long.reserve(LONG_BYTES, lambda: None)
+        peers = [Peer(long, LONG_BYTES) for _ in range(2)]
+        while any([peer.receive() for peer in peers]):
+            assert budget.used_bytes <= (memory_mb - PROGRAM_MB) * MIB
+        assert [peer.left for peer in peers].count(0) == 1, "the first response proceeds"
+
+    play(scenario)
--- a/tests/permits/test_quota_soak.py
+++ b/tests/permits/test_quota_soak.py
@@ -5,7 +5,8 @@
 import asyncio
 from pathlib import Path
 
-from benchmarks.quota_soak import Deployment, Soak
+from benchmarks.loopback_deployment import Deployment
+from benchmarks.quota_soak import Soak
 
 NETWORK = 39  # second octet of the loopback addresses
 PROXY_COUNT = 6
