Log which signal requests a stop, an exception that ends a process, and memory near its limit

Cause: of the three hypotheses, an end for memory left no line in the log, and an end by an exception a traceback without a number.

--- a/irisdeal/runtime/events.py
+++ b/irisdeal/runtime/events.py
@@ -23,6 +23,8 @@
     SETTINGS_INVALID = 104  # E104
     TASK_FAILED = 105  # E105
     BODY_REJECTED = 106  # E106
+    PROCESS_FAILED = 109  # E109
+    MEMORY_HIGH = 110  # E110
     VERSION_STORED = 200  # E200
     VERSION_REJECTED = 201  # E201
     VERSION_NOT_REPLICATED = 202  # E202
@@ -102,6 +104,8 @@
         WARNING,
         "a request with a long body was rejected while it arrived: the memory for bodies is in use",
     ),
+    Event.PROCESS_FAILED: (ERROR, "an unexpected exception ends the process"),
+    Event.MEMORY_HIGH: (WARNING, "the process is near its memory limit, at which the platform ends it"),
     Event.VERSION_STORED: (INFO, "a configuration version was stored and synced to disk"),
     Event.VERSION_REJECTED: (WARNING, "a configuration was rejected as invalid"),
     Event.VERSION_NOT_REPLICATED: (WARNING, "a configuration version did not reach a majority in time"),
--- a/irisdeal/runtime/process.py
+++ b/irisdeal/runtime/process.py
@@ -14,6 +14,7 @@
 from returns.result import Failure
 
 from irisdeal.runtime.events import Event, log_event
+from irisdeal.runtime.memory_monitor import CHECK_INTERVAL_S, MemoryMonitor
 from irisdeal.runtime.settings import Settings, load_settings
 
 # Pause before a background loop that failed runs again, so that one that always fails uses little time
@@ -102,14 +103,20 @@
             log_event(Event.SETTINGS_RELOADED)
             program.reload(result.unwrap())
 
-    loop.add_signal_handler(signal.SIGTERM, stop_requested.set)
-    loop.add_signal_handler(signal.SIGINT, stop_requested.set)
+    def request_stop(number: signal.Signals) -> None:
+        log_event(Event.STOP_REQUESTED, signal=number.name)
+        stop_requested.set()
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, request_stop, number)
     loop.add_signal_handler(signal.SIGHUP, reload_settings)
     gc.collect()
     gc.freeze()  # excludes the objects created at startup from later collections
+    monitor = MemoryMonitor(settings.limits.memory_mb)
+    monitoring = asyncio.create_task(run_periodically(CHECK_INTERVAL_S, monitor.check))
     await stop_requested.wait()
-    log_event(Event.STOP_REQUESTED)
     await program.stop()
+    monitoring.cancel()
     log_event(Event.STOPPED)
 
 
@@ -124,6 +131,10 @@
     if isinstance(result, Failure):
         log_event(Event.SETTINGS_INVALID, error=result.failure())
         return INVALID_SETTINGS_EXIT_CODE
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(_serve(make_program, result.unwrap(), path))
+    try:
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(_serve(make_program, result.unwrap(), path))
+    except Exception as error:
+        log_event(Event.PROCESS_FAILED, error=repr(error))
+        raise
     return 0
