Process soak: long bodies in a calm phase at the end, where further attempts are given

Change: the window of the retry budget is 2 s, and the last phase sends long bodies 4 s after the last trouble.

--- a/benchmarks/loopback_deployment.py
+++ b/benchmarks/loopback_deployment.py
@@ -38,7 +38,7 @@
 data_path = "{disk}"
 bounds = [
     "contact_ms=5000", "apply_ms=3000", "sync_s=6", "grace_s={grace_s}", "recovery_s={recovery_s}",
-    "retry_ratio=0.2", "retry_window_s=10", "retry_slack=56",
+    "retry_ratio=0.2", "retry_window_s=2", "retry_slack=56",
 ]
 [limits]
 memory_mb = {memory_mb}
--- a/benchmarks/process_soak/__main__.py
+++ b/benchmarks/process_soak/__main__.py
@@ -18,7 +18,10 @@
 from benchmarks.loopback_deployment import RECOVERY_S, Deployment
 from benchmarks.process_soak.lives import Lives
 from benchmarks.process_soak.traffic import Traffic
-from benchmarks.process_soak.troubles import Troubles
+from benchmarks.process_soak.troubles import LONG_BODIES_MIB, OTHER_BODIES, Troubles
+
+CALM_S = 4.0  # at the end, so that registries give further attempts when the last long bodies come
+LONG_BODY_PROXIES = 2
 
 
 @dataclass(frozen=True)
@@ -52,6 +55,9 @@
             if life.is_ended:
                 lives.start(life.role, life.ip)
         await lives.wait_until(lives.all_ready, 2 * RECOVERY_S)
+        await asyncio.sleep(CALM_S)
+        for ip in deployment.proxies[:LONG_BODY_PROXIES]:
+            await traffic.send_long_bodies(ip, max(LONG_BODIES_MIB), *OTHER_BODIES)
         await asyncio.gather(*(lives.stop(life) for life in lives.current.values() if not life.is_ended))
     finally:
         for watcher in watchers:
--- a/benchmarks/process_soak/troubles.py
+++ b/benchmarks/process_soak/troubles.py
@@ -24,6 +24,7 @@
 SHARE_OF_CORE = 0.21
 THROTTLED_S = 3.0
 LONG_BODIES_MIB = (1, 30, 63)
+OTHER_BODIES = 28, 4  # count, MiB: most that is under way beside a long body
 LISTENERS = {
     "config_store": (PORT_RANGE[0],),
     "registry": (PORT_RANGE[0] + 1, CONTROL_PORT),
@@ -242,7 +243,7 @@
             if await self.lives.wait_until(lambda: self._life(proxy).is_ready, MAX_OCCUPIED_S):
                 self.lives.counts["long bodies sent"] += 1
                 mib = self.rng.choice(LONG_BODIES_MIB)
-                await self.traffic.send_long_bodies(proxy[1], mib, self.rng.choice((8, 28)), 4)
+                await self.traffic.send_long_bodies(proxy[1], mib, *OTHER_BODIES)
             await self._keep_running(proxy)
         finally:
             self.has_long_bodies = False
