Move background tasks out of the module of the process's life

Cause: `irisdeal/runtime/process.py` had two jobs: the tasks of a program, and the start and end of its process.

Change: `irisdeal/runtime/tasks.py` holds the tasks; imports follow.

--- a/benchmarks/capacity/crowd.py
+++ b/benchmarks/capacity/crowd.py
@@ -18,8 +18,8 @@
 
 from benchmarks.capacity.hollow import SharedState, SimulatedBackends, SimulatedProxy
 from benchmarks.capacity.tally import FrameCounter
-from irisdeal.runtime.process import Tasks
 from irisdeal.runtime.settings import Settings
+from irisdeal.runtime.tasks import Tasks
 
 MAX_START_S = 8.0  # for one proxy to start before the next one does
 
--- a/benchmarks/capacity/hollow.py
+++ b/benchmarks/capacity/hollow.py
@@ -32,8 +32,8 @@
     PlacementResult,
     ReservationEnd,
 )
-from irisdeal.runtime.process import Tasks
 from irisdeal.runtime.settings import Settings
+from irisdeal.runtime.tasks import Tasks
 
 CONNECTIONS_PER_REGISTRY = 8  # of one process of simulated backends
 HEARTBEAT_TIMEOUT_S = 1.0  # as the deployments set it
--- a/irisdeal/config_store/consensus/acceptor.py
+++ b/irisdeal/config_store/consensus/acceptor.py
@@ -29,7 +29,7 @@
 from irisdeal.config_store.storage.version_files import VersionFiles
 from irisdeal.config_store.storage.version_store import VersionStore
 from irisdeal.runtime.events import Event, check_invariant, log_event
-from irisdeal.runtime.process import Tasks
+from irisdeal.runtime.tasks import Tasks
 
 T = TypeVar("T")
 Args = TypeVarTuple("Args")
--- a/irisdeal/config_store/consensus/proposer.py
+++ b/irisdeal/config_store/consensus/proposer.py
@@ -39,7 +39,7 @@
 )
 from irisdeal.config_store.peers import Peers, now
 from irisdeal.runtime.events import Event, log_event
-from irisdeal.runtime.process import Tasks
+from irisdeal.runtime.tasks import Tasks
 
 BALLOT_TIMEOUT_S = 2.5  # a slow disk needs over 1 s for each of the two syncs
 DECISION_TIMEOUT_S = 3.0  # for all ballots of one decision; the caller may have timed out and retried by then
--- a/irisdeal/config_store/membership/status_rounds.py
+++ b/irisdeal/config_store/membership/status_rounds.py
@@ -25,8 +25,8 @@
 from irisdeal.config_store.peers import Peers, now
 from irisdeal.runtime import ports
 from irisdeal.runtime.events import Event, log_event
-from irisdeal.runtime.process import Tasks
 from irisdeal.runtime.settings import Settings
+from irisdeal.runtime.tasks import Tasks
 
 STATUS_INTERVAL_S = 0.5  # between two rounds; a lost notice is made up for within two rounds
 SEARCH_INTERVAL_S = 0.12  # between two rounds without quorum contact
--- a/irisdeal/config_store/peers.py
+++ b/irisdeal/config_store/peers.py
@@ -15,8 +15,8 @@
 from irisdeal.rpc.client import RpcClient
 from irisdeal.runtime import ports
 from irisdeal.runtime.errors import OperationError
-from irisdeal.runtime.process import Tasks
 from irisdeal.runtime.settings import Settings
+from irisdeal.runtime.tasks import Tasks
 
 CHUNK_TIMEOUT_S = 2.0  # 64 KB take 0.3 s on a link of 2 Mbit/s, and the peer's disk may be slow
 MAX_CHUNKS_PER_TRANSFER = 400  # over 20 MB
--- a/irisdeal/config_store/replica.py
+++ b/irisdeal/config_store/replica.py
@@ -52,8 +52,8 @@
 from irisdeal.rpc.server import RpcServer
 from irisdeal.runtime import ports
 from irisdeal.runtime.events import Event, log_event
-from irisdeal.runtime.process import Tasks
 from irisdeal.runtime.settings import Settings
+from irisdeal.runtime.tasks import Tasks
 
 DEFAULT_DATA_PATH = "almanac-data"  # fixed: the folder name of earlier releases
 PUT_TIMEOUT_S = 0.85  # operator tools switch to another machine after 1 s without a reply
--- a/irisdeal/http1/server.py
+++ b/irisdeal/http1/server.py
@@ -15,7 +15,7 @@
 from irisdeal.http1.connection import Connection
 from irisdeal.http1.messages import Handler, Request, RequestLimits, Response
 from irisdeal.runtime.memory_budget import MemoryBudget
-from irisdeal.runtime.process import Tasks
+from irisdeal.runtime.tasks import Tasks
 
 TIMEOUT_CHECK_INTERVAL_S = 1.0
 DRAIN_POLL_INTERVAL_S = 0.05
--- a/irisdeal/proxy/attempt.py
+++ b/irisdeal/proxy/attempt.py
@@ -20,7 +20,7 @@
 from irisdeal.proxy.tenant_admission import RequestPermit
 from irisdeal.registry.messages import ReservationEnd
 from irisdeal.runtime.events import Event, log_event
-from irisdeal.runtime.process import Tasks
+from irisdeal.runtime.tasks import Tasks
 
 
 @dataclass(slots=True)
--- a/irisdeal/proxy/config_applier.py
+++ b/irisdeal/proxy/config_applier.py
@@ -12,7 +12,7 @@
 from irisdeal.config_store.configuration.version import ConfigVersion, VersionId
 from irisdeal.proxy.route_table import RouteTable
 from irisdeal.runtime.events import Event, log_event
-from irisdeal.runtime.process import Tasks
+from irisdeal.runtime.tasks import Tasks
 
 BUILD_SLICE_S = 0.004  # of work per turn of the event loop; takes about 0.02 s on 0.2 cores
 # Between the starts of two builds; versions that arrive sooner may be skipped. Far below an `apply_ms` of 2.5 s.
--- a/irisdeal/proxy/process.py
+++ b/irisdeal/proxy/process.py
@@ -28,8 +28,8 @@
 from irisdeal.runtime.early_listen import ListeningSockets
 from irisdeal.runtime.events import Event, log_event
 from irisdeal.runtime.memory_budget import MemoryBudget
-from irisdeal.runtime.process import Tasks
 from irisdeal.runtime.settings import Settings, parse_address
+from irisdeal.runtime.tasks import Tasks
 
 RESERVED_DESCRIPTORS = 200  # file descriptors for other uses than connections of clients and backends
 MIN_CONNECTION_DESCRIPTORS = 64  # for connections, even if the limit leaves fewer
--- a/irisdeal/proxy/registry_watcher.py
+++ b/irisdeal/proxy/registry_watcher.py
@@ -37,8 +37,8 @@
 from irisdeal.rpc.client import RpcClient
 from irisdeal.runtime import ports
 from irisdeal.runtime.events import Event, log_event
-from irisdeal.runtime.process import Tasks
 from irisdeal.runtime.settings import Settings
+from irisdeal.runtime.tasks import Tasks
 
 WATCHED_COUNT = 2  # registries watched at once, so that the failure of one causes no delay
 LONG_POLL_S = 1.0  # for which a registry holds a request while it has no update
--- a/irisdeal/registry/authority_monitor.py
+++ b/irisdeal/registry/authority_monitor.py
@@ -8,7 +8,7 @@
 from irisdeal.permits.authority import IssuerList, IssuingAuthority
 from irisdeal.registry.issuer_list_record import IssuerListRecord
 from irisdeal.runtime.events import Event, log_event
-from irisdeal.runtime.process import Tasks
+from irisdeal.runtime.tasks import Tasks
 
 
 class AuthorityMonitor:
--- a/irisdeal/registry/control_api.py
+++ b/irisdeal/registry/control_api.py
@@ -28,8 +28,8 @@
 from irisdeal.registry.status import registry_status
 from irisdeal.registry.store_client import RETRY_AFTER_S, StoreClient
 from irisdeal.runtime.events import Event, log_event
-from irisdeal.runtime.process import Tasks
 from irisdeal.runtime.settings import Settings
+from irisdeal.runtime.tasks import Tasks
 
 JSON_HEADERS = [(b"Content-Type", b"application/json")]
 # Reasons in the bodies of 503 answers, as operators and backends see them
--- a/irisdeal/registry/peers.py
+++ b/irisdeal/registry/peers.py
@@ -26,8 +26,8 @@
 from irisdeal.rpc.client import RpcClient
 from irisdeal.runtime import ports
 from irisdeal.runtime.events import Event, log_event
-from irisdeal.runtime.process import Tasks
 from irisdeal.runtime.settings import Settings
+from irisdeal.runtime.tasks import Tasks
 
 CALL_TIMEOUT_S = 0.4  # of a short call to another registry
 REPLICATION_TIMEOUT_S = 2 * CALL_TIMEOUT_S  # longer, because the receiver writes to disk before it answers
--- a/irisdeal/registry/server.py
+++ b/irisdeal/registry/server.py
@@ -43,8 +43,8 @@
 from irisdeal.runtime import ports
 from irisdeal.runtime.events import Event, log_event
 from irisdeal.runtime.memory_budget import MemoryBudget
-from irisdeal.runtime.process import Tasks, run_periodically
 from irisdeal.runtime.settings import Settings, parse_address
+from irisdeal.runtime.tasks import Tasks, run_periodically
 
 FLUSH_INTERVAL_S = 0.2  # between batches of heartbeats sent to the other registries
 CHECK_INTERVAL_S = 0.25  # between checks for overdue heartbeats and expired reservations
--- a/irisdeal/registry/store_client.py
+++ b/irisdeal/registry/store_client.py
@@ -34,8 +34,8 @@
 from irisdeal.runtime import ports
 from irisdeal.runtime.errors import OperationError
 from irisdeal.runtime.events import Event, log_event
-from irisdeal.runtime.process import Tasks, run_periodically
 from irisdeal.runtime.settings import Settings
+from irisdeal.runtime.tasks import Tasks, run_periodically
 
 MAX_POLL_S = 1.0  # a replica keeps a long poll pending for at most this long while nothing changes
 CALL_TIMEOUT_S = 0.4  # of a short call to a replica
--- a/irisdeal/rpc/server.py
+++ b/irisdeal/rpc/server.py
@@ -24,8 +24,8 @@
 )
 from irisdeal.rpc.transport import set_socket_options
 from irisdeal.runtime.events import Event, log_event
-from irisdeal.runtime.process import Tasks
 from irisdeal.runtime.settings import Address
+from irisdeal.runtime.tasks import Tasks
 
 MAX_RUNNING_CALLS = 256  # per connection; further calls are answered with an error
 DRAIN_POLL_INTERVAL_S = 0.02
--- a/irisdeal/runtime/memory_monitor.py
+++ b/irisdeal/runtime/memory_monitor.py
@@ -25,7 +25,7 @@
     def check(self) -> None:
         """Log the memory in use if it has reached the next share of the limit."""
         resident_mb = self._resident_mb()
-        share = resident_mb / self.limit_mb
+        share = resident_mb / max(self.limit_mb, 1.0)
         reached = sum(share >= logged for logged in LOGGED_SHARES)
         if reached > self.logged_count:
             self.logged_count = reached
--- a/tests/features/steps/disk_steps.py
+++ b/tests/features/steps/disk_steps.py
@@ -14,7 +14,7 @@
 from irisdeal.config_store.consensus.acceptor import Acceptor
 from irisdeal.config_store.consensus.register import NO_BALLOT, AcceptorState, Ballot, Value, put
 from irisdeal.config_store.membership.members import INITIAL_DISK_ID, Members
-from irisdeal.runtime.process import Tasks
+from irisdeal.runtime.tasks import Tasks
 from irisdeal.simulation.disk import MemoryDisk
 
 INITIAL_VALUE = Value.initial(Members.initial(["a", "b", "c"]))
--- a/tests/permits/test_permits.py
+++ b/tests/permits/test_permits.py
@@ -23,7 +23,7 @@
 from irisdeal.registry.authority_monitor import AuthorityMonitor
 from irisdeal.registry.issuer_list_record import IssuerListRecord, decode, encode
 from irisdeal.registry.messages import PlacementRequest
-from irisdeal.runtime.process import Tasks
+from irisdeal.runtime.tasks import Tasks
 
 RULE, LIMIT = QuotaRule(), Limit(30.0, 30.0)
 LISTED = IssuerList(3, frozenset({"a", "b", "c"}))
--- a/tests/proxy/test_route_table.py
+++ b/tests/proxy/test_route_table.py
@@ -21,7 +21,7 @@
 from irisdeal.proxy.config_applier import MIN_INTERVAL_S, ConfigApplier
 from irisdeal.proxy.route_table import Route, RouteTable
 from irisdeal.runtime.errors import OperationError
-from irisdeal.runtime.process import Tasks
+from irisdeal.runtime.tasks import Tasks
 from irisdeal.simulation.cpu import Core, Costs
 from irisdeal.simulation.machine import Machine
 from irisdeal.simulation.network import Network
--- a/tests/runtime/test_tasks.py
+++ b/tests/runtime/test_tasks.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from irisdeal.runtime import process
-from irisdeal.runtime.process import Tasks, run_periodically
+from irisdeal.runtime import tasks
+from irisdeal.runtime.tasks import Tasks, run_periodically
 
 FAILURES = 3
 
@@ -35,7 +35,7 @@
 def test_a_background_loop_runs_again_after_an_exception(
     monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
 ) -> None:
-    monkeypatch.setattr(process, "RESTART_PAUSE_S", 0.0)
+    monkeypatch.setattr(tasks, "RESTART_PAUSE_S", 0.0)
 
     async def play() -> None:
         work, tasks = Work(), Tasks()
--- a/tests/support/disk_formats.py
+++ b/tests/support/disk_formats.py
@@ -35,7 +35,7 @@
 from irisdeal.registry.incarnation import BackendIncarnation, BackendState
 from irisdeal.registry.issuer_list_record import IssuerListRecord
 from irisdeal.registry.tombstone_record import TombstoneRecord
-from irisdeal.runtime.process import Tasks
+from irisdeal.runtime.tasks import Tasks
 
 T = TypeVar("T")
 DATA = Path(__file__).parent.parent / "data" / "folders"
