One owner of a process's life: signals are handled from the first instruction to the last

What callers saw: processes that end by themselves (-1), or with -15 in place of 0, and one that stays after it has logged its end, until the platform kills it.

Cause: signals were handled only between the end of `program.start()` and the end of the event loop. Before, during the imports and the start, and after, while the loop and the interpreter shut down, their default actions ended the process. Closing the loop also waits, without bound, for threads that a disk holds up.

Change: each entry point installs handlers before it imports anything large (`irisdeal/runtime/signals.py`). What comes early is kept: SIGHUP is applied once the program has started, SIGTERM ends it in order. `ProgramRunner` owns start, reload and stop; `end_process` ignores the signals and ends the process with its code (`ExitCode`), without closing the loop or finalizing the interpreter.

Evidence: tests/system/test_process_ends.py.

Why it works: from the first line of the entry point to the exit there is no moment without a handler that keeps the request, or without the signals being ignored. What remains is the start of the interpreter itself, before that line.

--- a/benchmarks/capacity/tally.py
+++ b/benchmarks/capacity/tally.py
@@ -19,7 +19,8 @@
 from typing import Any
 
 from irisdeal.rpc import client, frames, server
-from irisdeal.runtime.process import main
+from irisdeal.runtime.process import run_process
+from irisdeal.runtime.signals import install_signal_handlers
 
 Counts = dict[str, list[int]]
 
@@ -96,4 +97,4 @@
     frame_counter.install()
     threading.Thread(target=print_counts, args=(frame_counter,), daemon=True).start()
     module, name = PROGRAMS[sys.argv[1]]
-    sys.exit(main(getattr(importlib.import_module(module), name)))
+    run_process(getattr(importlib.import_module(module), name), install_signal_handlers())
--- a/irisdeal/runtime/process.py
+++ b/irisdeal/runtime/process.py
@@ -1,4 +1,4 @@
-"""Startup and shutdown of a process: settings, logging, event loop and signals."""
+"""The life of a process: settings, logging, event loop, signals and exit code."""
 
 from __future__ import annotations
 
@@ -6,20 +6,22 @@
 import gc
 import logging
 import os
-import signal
 import sys
 from collections.abc import Callable
-from typing import Protocol
+from typing import NoReturn, Protocol
 
 from returns.result import Failure
 
 from irisdeal.runtime.events import Event, log_event
+from irisdeal.runtime.exit_codes import ExitCode
 from irisdeal.runtime.memory_monitor import CHECK_INTERVAL_S, MemoryMonitor
 from irisdeal.runtime.settings import Settings, load_settings
+from irisdeal.runtime.signals import ProcessSignals
 from irisdeal.runtime.tasks import run_periodically
 
 DEFAULT_SETTINGS_PATH = "/etc/irisdeal/settings.toml"  # used if `IRISDEAL_SETTINGS` is not set
-INVALID_SETTINGS_EXIT_CODE = 2
+# For which a start goes on after a request to stop, so that clients that have connected are answered
+START_AFTER_STOP_S = 1.0
 
 
 class Program(Protocol):
@@ -35,41 +37,69 @@
         """Apply settings that were read again."""
 
 
-async def _serve(make_program: Callable[[Settings], Program], settings: Settings, path: str) -> None:
-    """Run a program until SIGTERM or SIGINT. SIGHUP reloads the settings in `path`."""
-    loop = asyncio.get_running_loop()
-    program, stop_requested = make_program(settings), asyncio.Event()
-    await program.start()
-    log_event(Event.STARTED, node=settings.node_name, role=settings.role, zone=settings.zone)
-
-    def reload_settings() -> None:
+class ProgramRunner:
+    """Starts a program, reloads its settings and stops it, as the signals of its process request."""
+
+    def __init__(self, program: Program, settings_path: str, signals: ProcessSignals) -> None:
+        self.program, self.settings_path, self.signals = program, settings_path, signals
+        self.loop = asyncio.get_running_loop()
+        self.stop_requested = asyncio.Event()
+        self.is_started = False
+
+    async def run(self, settings: Settings) -> None:
+        """Run the program until a signal requests its stop."""
+        self.signals.attach(lambda: self.loop.call_soon_threadsafe(self._act_on_signals))
+        if await self._start():
+            log_event(Event.STARTED, node=settings.node_name, role=settings.role, zone=settings.zone)
+            self.is_started = True
+            self._act_on_signals()
+            gc.collect()
+            gc.freeze()  # excludes the objects created at startup from later collections
+            monitor = MemoryMonitor(settings.limits.memory_mb)
+            monitoring = asyncio.create_task(run_periodically(CHECK_INTERVAL_S, monitor.check))
+            await self.stop_requested.wait()
+            await self.program.stop()
+            monitoring.cancel()
+        log_event(Event.STOPPED)
+
+    async def _start(self) -> bool:
+        """Start the program; return False if its stop was requested before it was able to serve."""
+        starting = asyncio.create_task(self.program.start())
+        stopping = asyncio.create_task(self.stop_requested.wait())
+        await asyncio.wait({starting, stopping}, return_when=asyncio.FIRST_COMPLETED)
+        if not starting.done():
+            await asyncio.wait({starting}, timeout=START_AFTER_STOP_S)
+        stopping.cancel()
+        if self.stop_requested.is_set() and (not starting.done() or starting.exception() is not None):
+            starting.cancel()
+            return False
+        starting.result()
+        return True
+
+    def _act_on_signals(self) -> None:
+        if self.signals.stop_signal is not None:
+            if not self.stop_requested.is_set():
+                log_event(Event.STOP_REQUESTED, signal=self.signals.stop_signal.name)
+            self.stop_requested.set()
+        elif self.is_started and self.signals.take_reload_request():
+            self._reload_settings()
+
+    def _reload_settings(self) -> None:
         """Reload the settings file; an invalid file is logged and ignored."""
-        result = load_settings(path)
+        result = load_settings(self.settings_path)
         if isinstance(result, Failure):
             log_event(Event.SETTINGS_INVALID, error=result.failure())
         else:
             log_event(Event.SETTINGS_RELOADED)
-            program.reload(result.unwrap())
-
-    def request_stop(number: signal.Signals) -> None:
-        log_event(Event.STOP_REQUESTED, signal=number.name)
-        stop_requested.set()
-
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, request_stop, number)
-    loop.add_signal_handler(signal.SIGHUP, reload_settings)
-    gc.collect()
-    gc.freeze()  # excludes the objects created at startup from later collections
-    monitor = MemoryMonitor(settings.limits.memory_mb)
-    monitoring = asyncio.create_task(run_periodically(CHECK_INTERVAL_S, monitor.check))
-    await stop_requested.wait()
-    await program.stop()
-    monitoring.cancel()
-    log_event(Event.STOPPED)
-
-
-def main(make_program: Callable[[Settings], Program]) -> int:
-    """Run a program until a signal requests its stop; return the exit code."""
+            self.program.reload(result.unwrap())
+
+
+def run_process(make_program: Callable[[Settings], Program], signals: ProcessSignals) -> NoReturn:
+    """Run a program until a signal requests its stop, and end the process."""
+    end_process(_run(make_program, signals), signals)
+
+
+def _run(make_program: Callable[[Settings], Program], signals: ProcessSignals) -> ExitCode:
     os.environ["UV_USE_IO_URING"] = "0"  # libuv reads it when it is loaded by the next import
     import uvloop
 
@@ -78,11 +108,28 @@
     result = load_settings(path)
     if isinstance(result, Failure):
         log_event(Event.SETTINGS_INVALID, error=result.failure())
-        return INVALID_SETTINGS_EXIT_CODE
+        return ExitCode.INVALID_SETTINGS
+    settings = result.unwrap()
+
+    async def run_program() -> None:
+        await ProgramRunner(make_program(settings), path, signals).run(settings)
+
+    # Never closed: closing it would wait for threads that a disk holds up.
+    runner = asyncio.Runner(loop_factory=uvloop.new_event_loop)
     try:
-        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(_serve(make_program, result.unwrap(), path))
-    except Exception as error:
+        runner.run(run_program())
+    except Exception as error:  # any type: the process ends with one line and its exit code
         log_event(Event.PROCESS_FAILED, error=repr(error))
-        raise
-    return 0
+        return ExitCode.FAILED
+    return ExitCode.STOPPED
+
+
+def end_process(code: ExitCode, signals: ProcessSignals) -> NoReturn:
+    """End the process at once with this exit code.
+
+    The finalization of the interpreter is skipped. It would restore the default actions of the signals, and turn a
+    log that cannot be written into another exit code.
+    """
+    signals.ignore()
+    logging.shutdown()
+    os._exit(code)
--- a/tests/system/test_process_ends.py
+++ b/tests/system/test_process_ends.py
@@ -46,6 +46,24 @@
 BACKEND = Backend("i", "s", ("127.0.0.1", 1), "z", 0, 2, 0.0)
 SIGNAL_GAP_S = 0.005
 
+# A program whose start waits in a thread, as for a disk that hangs.
+HUNG_PROGRAM = """
+from irisdeal.runtime.signals import install_signal_handlers
+signals = install_signal_handlers()
+import asyncio, sys, time
+from irisdeal.runtime.process import run_process
+
+class Hung:
+    def __init__(self, settings): pass
+    async def start(self):
+        print("starts", flush=True)
+        await asyncio.to_thread(time.sleep, 30)
+    async def stop(self): pass
+    def reload(self, settings): pass
+
+run_process(Hung, signals)
+"""
+
 
 class Rig:
     """One core machine and one proxy, of which a test runs the programs that it needs."""
@@ -192,6 +210,26 @@
         rig.deployment.stop()
 
 
+# Guards against Fault: a thread that a disk holds up kept a stopped process from its end.
+def test_a_thread_that_hangs_does_not_hold_up_the_end(tmp_path: Path) -> None:
+    deployment = Deployment(tmp_path, NETWORK, proxies=1, cores=1)
+    settings = tmp_path / "settings.toml"
+    settings.write_text(deployment.settings_text("proxy", deployment.proxies[0]))
+    process = subprocess.Popen(
+        [sys.executable, "-c", HUNG_PROGRAM],
+        cwd=ROOT,
+        env={**os.environ, "IRISDEAL_SETTINGS": str(settings)},
+        stdout=subprocess.PIPE,
+    )
+    assert process.stdout is not None
+    assert process.stdout.readline() == b"starts\n"
+    process.send_signal(signal.SIGTERM)
+    try:
+        assert process.wait(GRACE_S) == 0
+    finally:
+        process.kill()
+
+
 class SocketTransport(asyncio.Transport):
     """A transport that has a socket, and nothing else."""
 
