Wait for a listening address that is not available yet

What callers saw: the system didn't start: a program whose port was held for a moment ended with code 1 and a traceback.

Cause: each listener was opened once, and any error ended the process. Ports of outgoing connections, which the kernel chooses, can be those of a listener; our own connections held them for as long as they were open.

Change: `listen_when_available` tries again for `recovery_s`, logs E107 with address and cause, and ends with E108 and code 3 after that. Early listening leaves an address in use to the start, and still opens the others. The metrics port is waited for in the background: no process needs it.

Why it works: another socket's hold is a state that passes, so that waiting for it within the time that a loss may last needs no end of the process; the case that does not pass is one line and a code of its own.

--- a/irisdeal/config_store/replica.py
+++ b/irisdeal/config_store/replica.py
@@ -52,6 +52,7 @@
 from irisdeal.rpc.server import RpcServer
 from irisdeal.runtime import ports
 from irisdeal.runtime.events import Event, log_event
+from irisdeal.runtime.listening import listen_when_available, max_listen_wait_s
 from irisdeal.runtime.settings import Settings
 from irisdeal.runtime.tasks import Tasks
 
@@ -105,15 +106,18 @@
     # Lifecycle
 
     async def start(self) -> None:
-        """Open the disk and start serving. Raises OSError if the disk fails or the address cannot be bound."""
+        """Open the disk and start serving. Raises OSError if the disk fails, and AddressUnavailableError."""
         initial_value = Value.initial(Members.initial(ports.seeds(self.settings)))
         await self.acceptor.open(initial_value if self.settings.bootstrap else None)
         if self.acceptor.decided == UNKNOWN_VALUE:
             log_event(Event.STARTED_AS_LEARNER, seat=self.acceptor.seat)
         self._apply_decided()
-        await self.server.listen((self.ip, ports.port(self.settings, ports.CONFIG_STORE)))
+        address = self.ip, ports.port(self.settings, ports.CONFIG_STORE)
+        await listen_when_available(
+            lambda: self.server.listen(address), address, max_listen_wait_s(self.settings)
+        )
         self.tasks.keep_running(self.rounds.run)
-        await self.metrics_server.start()
+        self.metrics_server.start()
 
     async def stop(self) -> None:
         """Shut down gracefully: wait until peers have caught up, and answer the calls in progress."""
--- a/irisdeal/http1/metrics_server.py
+++ b/irisdeal/http1/metrics_server.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import math
 
 from irisdeal.http1.messages import Request, Response
 from irisdeal.http1.server import HttpServer
+from irisdeal.runtime.listening import listen_when_available
 from irisdeal.runtime.metrics import CONTENT_TYPE, Metrics, parse_metrics_address
 from irisdeal.runtime.settings import Settings
+from irisdeal.runtime.tasks import Tasks
 
 
 class MetricsServer:
@@ -18,14 +21,17 @@
         self.address = parse_metrics_address(settings.metrics) if settings.metrics else None
         self.ip = settings.ip
         self.http = HttpServer(self._answer, loop)
+        self.tasks = Tasks()
 
-    async def start(self) -> None:
-        """Listen. Raises OSError if the port is in use."""
+    def start(self) -> None:
+        """Listen, in the background: a process serves without its metrics while their port is in use."""
         if self.address is not None:
-            await self.http.listen((self.ip, self.address.port))
+            address = self.ip, self.address.port
+            self.tasks.start(listen_when_available(lambda: self.http.listen(address), address, math.inf))
 
     def close(self) -> None:
         """Stop listening and close all connections."""
+        self.tasks.cancel()
         self.http.close()
 
     async def _answer(self, request: Request) -> Response:
--- a/irisdeal/proxy/backend_connection.py
+++ b/irisdeal/proxy/backend_connection.py
@@ -119,6 +119,7 @@
         """Set the socket options."""
         self.transport = cast(asyncio.Transport, transport)
         sock = transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)  # its local port may be listened at
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
         self.descriptor = sock.fileno()
--- a/irisdeal/proxy/process.py
+++ b/irisdeal/proxy/process.py
@@ -27,6 +27,7 @@
 from irisdeal.registry.incarnation import BackendIncarnation
 from irisdeal.runtime.early_listen import ListeningSockets
 from irisdeal.runtime.events import Event, log_event
+from irisdeal.runtime.listening import listen_when_available, max_listen_wait_s
 from irisdeal.runtime.memory_budget import MemoryBudget
 from irisdeal.runtime.settings import Settings, parse_address
 from irisdeal.runtime.tasks import Tasks
@@ -93,16 +94,19 @@
     # Start and shutdown
 
     async def start(self) -> None:
-        """Start watching the registries and serving clients."""
+        """Start watching the registries and serving clients. Raises AddressUnavailableError, or OSError."""
         self.watcher.start()
         self.tasks.keep_running(self.admission.report_intervals)
-        await self.http_server.listen(
-            parse_address(self.settings.bind.front), sock=self.listening.get("front")
+        await self._listen(self.http_server, "front", self.settings.bind.front)
+        await self._listen(self.readiness, "readiness", self.settings.bind.readiness)
+        self.metrics_server.start()
+
+    async def _listen(self, server: HttpServer, name: str, text: str) -> None:
+        """Serve at an address of the settings. Raises AddressUnavailableError, or OSError."""
+        address, sock = parse_address(text), self.listening.get(name)
+        await listen_when_available(
+            lambda: server.listen(address, sock=sock), address, max_listen_wait_s(self.settings)
         )
-        await self.readiness.listen(
-            parse_address(self.settings.bind.readiness), sock=self.listening.get("readiness")
-        )
-        await self.metrics_server.start()
 
     async def stop(self) -> None:
         """Shut down gracefully: finish or reject all requests, and return when the last bytes are sent."""
--- a/irisdeal/registry/server.py
+++ b/irisdeal/registry/server.py
@@ -42,8 +42,9 @@
 from irisdeal.rpc.server import RpcServer
 from irisdeal.runtime import ports
 from irisdeal.runtime.events import Event, log_event
+from irisdeal.runtime.listening import listen_when_available, max_listen_wait_s
 from irisdeal.runtime.memory_budget import MemoryBudget
-from irisdeal.runtime.settings import Settings, parse_address
+from irisdeal.runtime.settings import Address, Settings, parse_address
 from irisdeal.runtime.tasks import Tasks, run_periodically
 
 FLUSH_INTERVAL_S = 0.2  # between batches of heartbeats sent to the other registries
@@ -134,9 +135,10 @@
     # Start and shutdown
 
     async def start(self) -> None:
-        """Listen, and start the background tasks."""
+        """Listen, and start the background tasks. Raises AddressUnavailableError, or OSError."""
         await self.peers.restore()
-        await self.server.listen((self.ip, ports.port(self.settings, ports.REGISTRY)))
+        address, max_wait_s = self._rpc_address(), max_listen_wait_s(self.settings)
+        await listen_when_available(lambda: self.server.listen(address), address, max_wait_s)
         self.store_client.start()
         self.tasks.keep_running(self.peers.synchronize)
         self.tasks.start(run_periodically(FLUSH_INTERVAL_S, self.peers.flush))
@@ -144,8 +146,12 @@
         self.tasks.start(run_periodically(REPORT_INTERVAL_S, self._share_loads))
         self.tasks.keep_running(lambda: self.admission.quotas.run_intervals(self._share_sum))
         self.tasks.start(self.authority_monitor.restore())
-        await self.http.listen(parse_address(self.settings.bind.control))
-        await self.metrics_server.start()
+        control = parse_address(self.settings.bind.control)
+        await listen_when_available(lambda: self.http.listen(control), control, max_wait_s)
+        self.metrics_server.start()
+
+    def _rpc_address(self) -> Address:
+        return self.ip, ports.port(self.settings, ports.REGISTRY)
 
     async def stop(self) -> None:
         """Shut down gracefully.
--- a/irisdeal/runtime/early_listen.py
+++ b/irisdeal/runtime/early_listen.py
@@ -33,18 +33,21 @@
 def listen(*names: str) -> ListeningSockets:
     """Open listening sockets at the addresses with these names in the file that `IRISDEAL_SETTINGS` names."""
     listening: ListeningSockets = {}
+    path = os.environ.get("IRISDEAL_SETTINGS", "/etc/irisdeal/settings.toml")
     try:
-        with open(
-            os.environ.get("IRISDEAL_SETTINGS", "/etc/irisdeal/settings.toml"), encoding="utf-8"
-        ) as file:
+        with open(path, encoding="utf-8") as file:
             wanted = bind_addresses(file.read(), names)
-        for name, address in wanted.items():
-            sock = socket.socket()
+    except (OSError, ValueError):  # reported later, when the process reads its settings
+        return listening
+    for name, address in wanted.items():
+        sock = socket.socket()
+        try:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             sock.bind(address)
             sock.listen(BACKLOG_COUNT)
             sock.setblocking(False)
-            listening[name] = sock
-    except OSError:  # reported later, when the process reads its settings and listens
-        pass
+        except OSError:  # tried again later, when the process listens
+            sock.close()
+            continue
+        listening[name] = sock
     return listening
--- a/irisdeal/runtime/errors.py
+++ b/irisdeal/runtime/errors.py
@@ -67,3 +67,7 @@
 
 class SettingsError(OperationError):
     """The settings file cannot be read, or one of its fields is invalid; `peer` is the file or the field."""
+
+
+class AddressUnavailableError(OperationError):
+    """A listening socket could not be opened in time, as its address is in use or not assigned to the machine."""
--- a/irisdeal/runtime/events.py
+++ b/irisdeal/runtime/events.py
@@ -23,6 +23,8 @@
     SETTINGS_INVALID = 104  # E104
     TASK_FAILED = 105  # E105
     BODY_REJECTED = 106  # E106
+    ADDRESS_UNAVAILABLE = 107  # E107
+    ADDRESS_WAIT_ENDED = 108  # E108
     PROCESS_FAILED = 109  # E109
     MEMORY_HIGH = 110  # E110
     VERSION_STORED = 200  # E200
@@ -104,6 +106,11 @@
         WARNING,
         "a request with a long body was rejected while it arrived: the memory for bodies is in use",
     ),
+    Event.ADDRESS_UNAVAILABLE: (
+        WARNING,
+        "an address is in use or not assigned to this machine: listening is tried again",
+    ),
+    Event.ADDRESS_WAIT_ENDED: (ERROR, "an address did not become available in time: the process ends"),
     Event.PROCESS_FAILED: (ERROR, "an unexpected exception ends the process"),
     Event.MEMORY_HIGH: (WARNING, "the process is near its memory limit, at which the platform ends it"),
     Event.VERSION_STORED: (INFO, "a configuration version was stored and synced to disk"),
--- a/irisdeal/runtime/exit_codes.py
+++ b/irisdeal/runtime/exit_codes.py
@@ -11,3 +11,4 @@
     STOPPED = 0  # a signal requested the stop
     FAILED = 1  # an exception that the program did not expect
     INVALID_SETTINGS = 2
+    ADDRESS_UNAVAILABLE = 3  # another socket held an address for too long
--- a/irisdeal/runtime/process.py
+++ b/irisdeal/runtime/process.py
@@ -12,6 +12,7 @@
 
 from returns.result import Failure
 
+from irisdeal.runtime.errors import AddressUnavailableError
 from irisdeal.runtime.events import Event, log_event
 from irisdeal.runtime.exit_codes import ExitCode
 from irisdeal.runtime.memory_monitor import CHECK_INTERVAL_S, MemoryMonitor
@@ -118,6 +119,9 @@
     runner = asyncio.Runner(loop_factory=uvloop.new_event_loop)
     try:
         runner.run(run_program())
+    except AddressUnavailableError as error:
+        log_event(Event.ADDRESS_WAIT_ENDED, error=error)
+        return ExitCode.ADDRESS_UNAVAILABLE
     except Exception as error:  # any type: the process ends with one line and its exit code
         log_event(Event.PROCESS_FAILED, error=repr(error))
         return ExitCode.FAILED
--- a/tests/runtime/test_early_listen.py
+++ b/tests/runtime/test_early_listen.py
@@ -33,3 +33,21 @@
 def test_missing_settings_are_left_to_the_loading_of_settings(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setenv("IRISDEAL_SETTINGS", "/nowhere/settings.toml")
     assert listen("front") == {}
+
+
+# Guards against Fault: an address in use kept a proxy from listening early at its others, too.
+def test_an_address_in_use_is_left_to_the_start(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    settings = tmp_path / "settings.toml"
+    with socket.socket() as holder, socket.socket() as free:
+        holder.bind(("127.0.0.1", 0))
+        holder.listen()
+        free.bind(("127.0.0.1", 0))
+        port = free.getsockname()[1]
+        free.close()
+        settings.write_text(
+            f'[bind]\nfront = "127.0.0.1:{holder.getsockname()[1]}"\nreadiness = "127.0.0.1:{port}"\n'
+        )
+        monkeypatch.setenv("IRISDEAL_SETTINGS", str(settings))
+        listening = listen("front", "readiness")
+        assert list(listening) == ["readiness"]
+        listening["readiness"].close()
