Bound all that a request with long bodies may hold: body, and the responses of two attempts

What callers saw: a proxy was ended by its platform for memory (303 to 324 MB of 300), and requests of other clients that backends had run got no answer.

Cause: the budget of bodies let the oldest request take whatever it asked for beside a full budget. Its second attempt's response was counted like its first, and that of an abandoned attempt was held until the request's end.

An attempt that fails or is abandoned returns its memory at once.

Why it works: what is not the oldest request's body and first response is only granted within the shared part, so that both parts together bound what is held; the oldest request always fits its own part, so it proceeds.

--- a/irisdeal/proxy/backend_connection.py
+++ b/irisdeal/proxy/backend_connection.py
@@ -20,11 +20,10 @@
 from irisdeal.proxy.attempt_outcome import AttemptEnd, AttemptOutcome
 from irisdeal.proxy.backend_request import BackendRequest
 from irisdeal.runtime.events import Event, log_event
-from irisdeal.runtime.memory_budget import MemoryLease
+from irisdeal.runtime.memory_budget import MAX_RESPONSE_BYTES, ResponseLease
 
 MAX_IDLE_S = 8.5  # if the backend sends no Keep-Alive header
 KEEP_ALIVE_SHARE = 0.85  # used share of the idle time that the backend states in Keep-Alive
-MAX_BODY_BYTES = 64 << 20  # of a response
 MAX_HEAD_BYTES = 32768
 RESERVATION_STEP_BYTES = 1 << 20  # of memory for a response of unknown length
 # Clients may retry after these statuses, so the backend must state that it did not execute the request.
@@ -50,7 +49,7 @@
         self.request_count = 0  # requests written
         self.is_mutating = True  # kind of request that TCP_USER_TIMEOUT is set for
         self.idle_since, self.max_idle_s = 0.0, MAX_IDLE_S
-        self.memory: MemoryLease | None = None  # of the client's request in progress
+        self.memory: ResponseLease | None = None  # of the response to the request in progress
         self.is_paused = False  # reading waits for memory
         self._reset_response()
 
@@ -70,7 +69,7 @@
             self._set_user_timeout(self.transport, request.is_mutating)
         self.response = asyncio.get_running_loop().create_future()
         self.attempt_id, self.is_bodiless = request.attempt_id, request.is_bodiless
-        self.memory = request.memory
+        self.memory = request.memory.for_response() if request.memory is not None else None
         self._reset_response()
         self.request_count += 1
         request.is_sent = True
@@ -87,6 +86,10 @@
 
     def _finish(self, outcome: AttemptOutcome, keep_open: bool) -> None:
         response, self.response = self.response, None
+        if outcome.end is AttemptEnd.RESPONSE:
+            self.memory = None  # held until the client has received the response
+        else:
+            self._release_memory()
         if keep_open:
             self._resume_reading()
         else:
@@ -111,8 +114,16 @@
     def give_up(self) -> None:
         """Close the connection immediately; the response is not needed any more."""
         self.response = None
+        self._release_memory()
         self.drop()
 
+    def _release_memory(self) -> None:
+        """Return the memory of a response that is not passed on, and its bytes."""
+        self.body = BodyCollector()
+        if self.memory is not None:
+            self.memory.release()
+            self.memory = None
+
     # The transport's callbacks
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -237,7 +248,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Store a chunk of the body. Raises ValueError if the body is too long or must be empty."""
-        if self.body.size + len(body) > MAX_BODY_BYTES or self.is_bodiless:
+        if self.body.size + len(body) > MAX_RESPONSE_BYTES or self.is_bodiless:
             raise ValueError("a body that is too long or has no place")
         self.body.append(body)
         if self.body.size > self.reserved_bytes:
@@ -245,7 +256,7 @@
 
     def _reserve_memory(self) -> None:
         """Reserve memory for the rest of the body or its next part; pause reading until it is granted."""
-        wanted = max(min(self.content_length, MAX_BODY_BYTES), self.body.size + RESERVATION_STEP_BYTES)
+        wanted = max(min(self.content_length, MAX_RESPONSE_BYTES), self.body.size + RESERVATION_STEP_BYTES)
         size, self.reserved_bytes = wanted - self.reserved_bytes, wanted
         if self.memory is None or self.memory.reserve(size, self._resume_reading):
             return
--- a/tests/http1/test_body_memory.py
+++ b/tests/http1/test_body_memory.py
@@ -332,3 +332,25 @@
         assert [peer.left for peer in peers].count(0) == 1, "the first response proceeds"
 
     play(scenario)
+
+
+def test_another_response_takes_the_place_of_one_that_fails() -> None:
+    async def scenario() -> None:
+        budget = MemoryBudget(0, 2 * BODY_BYTES)
+        lease = MemoryLease(budget)
+        assert lease.reserve(MIB, lambda: None)
+        first, second = Peer(lease, BODY_BYTES), Peer(lease, BODY_BYTES)
+        while first.left > BODY_BYTES // 2:
+            first.receive()
+            second.receive()
+        assert second.transport.is_paused
+        first.connection.connection_lost(None)
+        assert not second.transport.is_paused
+        while second.receive():
+            pass
+        assert second.outcome.result().end is AttemptEnd.RESPONSE
+        assert budget.used_bytes <= MIB + BODY_BYTES
+        lease.release()
+        assert budget.used_bytes == 0
+
+    play(scenario)
--- a/tests/runtime/test_memory_budget.py
+++ b/tests/runtime/test_memory_budget.py
@@ -86,3 +86,53 @@
     lease.release()
     assert lease.reserve(CAPACITY, lambda: None)
     assert budget.used_bytes == 0 and not budget.leases
+
+
+class Attempt:
+    """The response to one attempt, which grows in steps and may fail."""
+
+    def __init__(self, lease: MemoryLease, steps: list[int]) -> None:
+        self.response, self.steps, self.is_waiting = lease.for_response(), steps, False
+
+    def step(self) -> None:
+        """Reserve the next part, unless one waits."""
+        if self.steps and not self.is_waiting:
+            self.is_waiting = not self.response.reserve(self.steps.pop(0), self.resume)
+
+    def resume(self) -> None:
+        """Go on after a wait."""
+        self.is_waiting = False
+
+    def is_complete(self) -> bool:
+        """Return whether all of it is held."""
+        return not self.steps and not self.is_waiting
+
+
+@hypothesis_settings(max_examples=200, deadline=None)
+@given(st.integers(0, 1_000_000))
+def test_with_two_responses_to_each_request_no_more_than_the_budget_is_held(seed: int) -> None:
+    rng, budget = random.Random(seed), MemoryBudget(CAPACITY, 2 * MAX_BODY)
+    requests = []
+    for _ in range(rng.randint(1, 10)):
+        lease = MemoryLease(budget)
+        body = Attempt(lease, draw_steps(rng))
+        body.response = lease  # type: ignore[assignment]  # the same call: its body
+        requests.append((lease, body, [Attempt(lease, draw_steps(rng)) for _ in range(2)]))
+    for _ in range(5_000):
+        lease, body, attempts = request = rng.choice(requests)
+        if not body.is_complete():
+            body.step()
+        else:
+            attempt = rng.choice(attempts)
+            attempt.step()
+            if attempt.is_complete():
+                lease.release()
+                requests.remove(request)
+            elif len(attempts) > 1 and rng.random() < 0.05:  # it fails, and only the other one is left
+                attempt.response.release()
+                attempts.remove(attempt)
+        assert budget.used_bytes <= budget.capacity_bytes
+        if not requests:
+            break
+    assert not requests, "requests wait for each other"
+    assert budget.used_bytes == 0 and not budget.leases
