Read a settings file that is just being written again at a start

What callers saw: a process that ended by itself at its start, with code 2 or 1.

Cause: the settings were read once. A file of which only a part was written by then was invalid, or valid without the addresses that the process serves at. A proxy could also listen early at a port that was cut off in the middle.

Change: a start reads an invalid file again for 2 s. What a process serves (`serves`) needs its addresses in `bind`. A socket that was opened early is used only if the whole file has its address.

The soak now has that trouble on purpose.

The test of outgoing connections uses an address of its own: it failed once, since other connections shared the port that the kernel chose on 127.0.0.1, without SO_REUSEADDR; it is as strict as before.

--- a/benchmarks/loopback_deployment.py
+++ b/benchmarks/loopback_deployment.py
@@ -25,9 +25,11 @@
 MEMORY_MB = 300.0  # limit of one process
 GRACE_S = 6.0  # from SIGTERM to the platform's SIGKILL
 RECOVERY_S = 15.0  # after a loss, until requests must be served again
+SERVED_BY = {"proxy": ["edge"], "registry": ["control_plane"]}
 SETTINGS = """
 node_name = "{role}-{ip}"
 role = "{role}"
+serves = {serves}
 ip = "{ip}"
 zone = "{zone}"
 port_range = [{ports[0]}, {ports[1]}]
@@ -79,6 +81,7 @@
         number = int(ip.rpartition(".")[2])
         return SETTINGS.format(
             role=role,
+            serves=json.dumps(SERVED_BY.get(role, [])),
             ip=ip,
             zone=f"z{number % ZONE_COUNT}",
             ports=PORT_RANGE,
--- a/benchmarks/process_soak/troubles.py
+++ b/benchmarks/process_soak/troubles.py
@@ -19,6 +19,7 @@
 MAX_SIGNALS = 12
 END_SIGNAL_GAP_S = 0.005
 MAX_OCCUPIED_S = 4.0
+MAX_HALF_WRITTEN_S = 1.2
 SHARE_PERIOD_S = 0.1
 MAX_SUSPENSION_S = 2.0
 SHARE_OF_CORE = 0.21
@@ -52,6 +53,7 @@
             self.suspend,
             self.changed_settings,
             self.throttled_start,
+            self.half_written_settings,
             self.refused_writes,
             self.long_bodies,
             self.long_bodies,
@@ -221,6 +223,20 @@
             self.lives.send(life, signal.SIGHUP)
         await asyncio.sleep(0.1)
 
+    async def half_written_settings(self, key: tuple[str, str]) -> None:
+        """A start whose settings file is written a part at a time, with SIGHUP meanwhile."""
+        await self._end(key)
+        path, text = self.deployment.settings_path(*key), self.deployment.settings_text(*key)
+        life = self.lives.start(*key)
+        with self.lives.trouble(life):
+            until = time.monotonic() + self.rng.uniform(0.1, MAX_HALF_WRITTEN_S)
+            while time.monotonic() < until:
+                path.write_text(text[: self.rng.randrange(len(text))])
+                self.lives.send(life, signal.SIGHUP)
+                await asyncio.sleep(self.rng.uniform(0, 0.1))
+            path.write_text(text)
+        await self._keep_running(key)
+
     async def refused_writes(self, key: tuple[str, str]) -> None:
         """The disk refuses all writes for a while, in service."""
         await self._keep_running(key)
--- a/irisdeal/proxy/process.py
+++ b/irisdeal/proxy/process.py
@@ -103,7 +103,12 @@
 
     async def _listen(self, server: HttpServer, name: str, text: str) -> None:
         """Serve at an address of the settings. Raises AddressUnavailableError, or OSError."""
-        address, sock = parse_address(text), self.listening.get(name)
+        address, sock = parse_address(text), self.listening.pop(name, None)
+        if (
+            sock is not None and sock.getsockname() != address
+        ):  # opened from a file that was just being written
+            sock.close()
+            sock = None
         await listen_when_available(
             lambda: server.listen(address, sock=sock), address, max_listen_wait_s(self.settings)
         )
--- a/irisdeal/runtime/process.py
+++ b/irisdeal/runtime/process.py
@@ -7,12 +7,13 @@
 import logging
 import os
 import sys
+import time
 from collections.abc import Callable
 from typing import NoReturn, Protocol
 
-from returns.result import Failure
+from returns.result import Failure, Result
 
-from irisdeal.runtime.errors import AddressUnavailableError
+from irisdeal.runtime.errors import AddressUnavailableError, SettingsError
 from irisdeal.runtime.events import Event, log_event
 from irisdeal.runtime.exit_codes import ExitCode
 from irisdeal.runtime.memory_monitor import CHECK_INTERVAL_S, MemoryMonitor
@@ -23,6 +24,8 @@
 DEFAULT_SETTINGS_PATH = "/etc/irisdeal/settings.toml"  # used if `IRISDEAL_SETTINGS` is not set
 # For which a start goes on after a request to stop, so that clients that have connected are answered
 START_AFTER_STOP_S = 1.0
+MAX_SETTINGS_WAIT_S = 2.0  # for which a start reads an invalid settings file again
+SETTINGS_RETRY_INTERVAL_S = 0.05
 
 
 class Program(Protocol):
@@ -100,16 +103,29 @@
     end_process(_run(make_program, signals), signals)
 
 
+def wait_for_settings(path: str, signals: ProcessSignals) -> Result[Settings, SettingsError]:
+    """Load the settings file; one that is just being written is read again until it is valid."""
+    tries_end_at = time.monotonic() + MAX_SETTINGS_WAIT_S
+    is_logged = False
+    while isinstance(result := load_settings(path), Failure):
+        if not is_logged:
+            log_event(Event.SETTINGS_INVALID, error=result.failure())
+        is_logged = True
+        if signals.stop_signal is not None or time.monotonic() >= tries_end_at:
+            break
+        time.sleep(SETTINGS_RETRY_INTERVAL_S)
+    return result
+
+
 def _run(make_program: Callable[[Settings], Program], signals: ProcessSignals) -> ExitCode:
     os.environ["UV_USE_IO_URING"] = "0"  # libuv reads it when it is loaded by the next import
     import uvloop
 
     logging.basicConfig(level=os.environ.get("IRISDEAL_LOG", "INFO"), stream=sys.stderr, format="%(message)s")
     path = os.environ.get("IRISDEAL_SETTINGS", DEFAULT_SETTINGS_PATH)
-    result = load_settings(path)
+    result = wait_for_settings(path, signals)
     if isinstance(result, Failure):
-        log_event(Event.SETTINGS_INVALID, error=result.failure())
-        return ExitCode.INVALID_SETTINGS
+        return ExitCode.STOPPED if signals.stop_signal is not None else ExitCode.INVALID_SETTINGS
     settings = result.unwrap()
 
     async def run_program() -> None:
--- a/irisdeal/runtime/settings.py
+++ b/irisdeal/runtime/settings.py
@@ -19,6 +19,8 @@
 Address = tuple[str, int]  # host, port
 MIN_PORT_COUNT = 4  # size of `port_range`; three ports are in use (`irisdeal.runtime.ports`)
 MAX_PORT = 65535
+# Keys of `bind` that a process needs, by what it serves
+NEEDED_ADDRESSES = {"edge": ("front", "readiness"), "control_plane": ("control",)}
 
 
 @dataclass(frozen=True)
@@ -121,8 +123,12 @@
 
 
 def _check_addresses(settings: Settings) -> None:
-    """Raise ValueError if an address is malformed; an empty one is allowed."""
+    """Raise ValueError if an address is malformed, or one is missing that the process serves at."""
     bind = settings.bind
+    for served in settings.serves:
+        for name in NEEDED_ADDRESSES.get(served, ()):
+            if not getattr(bind, name):
+                raise ValueError(f"bind.{name}: missing, and this process serves {served}")
     for text in (*settings.seed_peers, bind.front, bind.readiness, bind.control):
         if text:
             parse_address(text)
--- a/tests/system/test_process_ends.py
+++ b/tests/system/test_process_ends.py
@@ -41,6 +41,8 @@
 ]
 POLL_INTERVAL_S = 0.01
 OCCUPIED_S = 1.0
+IP_BIND_ADDRESS_NO_PORT = 24  # of Linux: the port is chosen at connect, as without bind
+OUTGOING_IP = f"127.{NETWORK}.3.1"
 END_ROUNDS = 4
 SETTLED_S = 0.3  # for which a program has served
 BACKEND = Backend("i", "s", ("127.0.0.1", 1), "z", 0, 2, 0.0)
@@ -137,6 +139,22 @@
     assert process.poll() is None, rig.log(role)
 
 
+# Guards against Fault: a program whose settings file was just being written ended with code 2.
+@pytest.mark.parametrize("role", ROLES)
+def test_a_start_reads_half_written_settings_again(rig: Rig, role: str) -> None:
+    path = rig.deployment.settings_path(role, rig.addresses[role])
+    text = rig.deployment.settings_text(role, rig.addresses[role], is_first=True)
+    rig.deployment.settings_text = lambda *_: text[: text.index("readiness = ") + 20]  # type: ignore[method-assign]
+    process = rig.start(role)
+    wait_until(lambda: process.poll() is not None or "E104" in rig.log(role))
+    path.write_text(text)
+    wait_until(lambda: process.poll() is not None or rig.serves(role))
+    assert process.poll() is None, rig.log(role)
+    for served_by, port in LISTENERS:
+        if served_by == role:
+            socket.create_connection((rig.addresses[role], port), 1.0).close()
+
+
 # Guards against Fault: SIGTERM that came while a program started ended it by the signal, in place of code 0.
 @pytest.mark.parametrize("role", ROLES)
 def test_sigterm_during_the_start_ends_in_order(rig: Rig, role: str) -> None:
@@ -243,6 +261,9 @@
     with socket.socket() as server, socket.socket() as outgoing, socket.socket() as listener:
         server.bind(("127.0.0.1", 0))
         server.listen()
+        # An address of its own, as other connections may share a port that the kernel chooses for 127.0.0.1
+        outgoing.setsockopt(socket.IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, 1)
+        outgoing.bind((OUTGOING_IP, 0))
         outgoing.connect(server.getsockname())
         if kind == "rpc":
             set_socket_options(SocketTransport(outgoing))
