Reject configurations whose text is no JSON or whose numbers are not finite

What callers saw: a configuration with `NaN` weights was acknowledged, and each request of the route got 500.

Cause: Python's JSON reader takes NaN and Infinity, and reads 1e999 as infinity; every check of the validation is a comparison, which is false for NaN. A whole number beyond a float's range raised an error that nothing caught.

Change: both readings use a strict reader, and each number of the model must be finite.

--- a/irisdeal/config_store/configuration/json_cursor.py
+++ b/irisdeal/config_store/configuration/json_cursor.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-import json
 import re
 from collections.abc import Callable, Generator
 
+from irisdeal.config_store.configuration.strict_json import STRICT_DECODER
+
 BLANKS = re.compile(r"[ \t\n\r]*")  # between tokens, by RFC 8259
 
 ReadValue = Callable[[str, int], Generator[None, None, int]]  # key, start of its value -> end of the value
@@ -29,7 +30,7 @@
         if not body.isascii():
             raise UnsupportedShapeError("non-ASCII bytes: byte and character offsets differ")
         self.text = body.decode("ascii")
-        self.decode = json.JSONDecoder().raw_decode  # text, start -> value, end
+        self.decode = STRICT_DECODER.raw_decode  # text, start -> value, end
 
     def has(self, offset: int, character: str) -> bool:
         """Whether the character at this offset is the given one."""
--- a/irisdeal/config_store/configuration/parsing.py
+++ b/irisdeal/config_store/configuration/parsing.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-import json
+import math
 from collections.abc import Mapping
 from typing import Any, TypeVar
 
 import dacite
 from returns.result import Failure, Result, Success
 
+from irisdeal.config_store.configuration import strict_json
 from irisdeal.config_store.configuration.model import Configuration, Pool, Rule, Share, Socket, Tenant
 from irisdeal.config_store.configuration.validation import validate
 from irisdeal.runtime.errors import OperationError
@@ -37,10 +38,16 @@
 
 
 def _read_number(value: object) -> float:
-    """Return the number as a float; JSON integers are allowed for float fields."""
+    """Return the number as a float; JSON integers are allowed for float fields, and all must be finite."""
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise dacite.DaciteError(f"wanted a number, got {value!r}")
-    return float(value)
+    try:
+        number = float(value)
+    except OverflowError:
+        number = math.inf
+    if not math.isfinite(number):
+        raise dacite.DaciteError("wanted a finite number")
+    return number
 
 
 LIST_TYPES: tuple[Any, ...] = (  # list types as annotated in the model; `Any`, as they have no common type
@@ -83,7 +90,7 @@
 
 def _load_object(body: bytes) -> dict[str, object]:
     """Return the JSON object. Raises ValueError if it is not an object or lacks a required key."""
-    data = json.loads(body)
+    data = strict_json.loads(body)
     if not isinstance(data, dict):
         raise ValueError("wanted an object")
     for key in REQUIRED_KEYS:
--- a/tests/config_store/test_incremental_reading.py
+++ b/tests/config_store/test_incremental_reading.py
@@ -4,6 +4,7 @@
 
 import copy
 import json
+import re
 from random import Random
 from typing import Any
 
@@ -293,3 +294,31 @@
     place[field] = value
     assert isinstance(parse_configuration(body(data)), Failure)
     assert isinstance(run_to_completion(read_incrementally(body(data), None)), Failure)
+
+
+# Guards against CONFIG: a configuration with `NaN` was acknowledged, and a route answered each request with 500.
+@pytest.mark.parametrize("number", ["NaN", "Infinity", "-Infinity", "1e999", "1" + 400 * "0"])
+@pytest.mark.parametrize("field", ["weight", "timeout_ms", "target_ms", "burst", "rate_per_s", "unknown"])
+def test_numbers_that_are_not_finite_are_invalid(field: str, number: str) -> None:
+    rule = {
+        "name": "r",
+        "kind": "mutating",
+        "target_ms": 800,
+        "pattern": {"path_prefix": "/a/"},
+        "effect": {"weighted": [{"service": "s", "weight": 1}], "timeout_ms": 1000, "max_tries": 2},
+    }
+    tenant = {"name": "t", "api_keys": ["k"], "rate_per_s": 5, "burst": 5}
+    valid: dict[str, Any] = {
+        "generation": "r1",
+        "pools": [{"name": "s"}],
+        "sockets": [{"hostname": "h", "rules": [rule]}],
+        "tenants": [tenant],
+        "unknown": 5,
+    }
+    text = json.dumps(valid)
+    changed = re.sub(rf'("{field}"): \d+', rf"\1: {number}", text).encode()
+    assert changed != text.encode()
+    before = run_to_completion(read_incrementally(text.encode(), None)).unwrap()
+    is_ignored = field == "unknown" and number[0] == "1"
+    for result in (parse_configuration(changed), run_to_completion(read_incrementally(changed, before))):
+        assert isinstance(result, Success if is_ignored else Failure)
