Record limits on disk, so that a restarted registry bounds its refill after a change

What callers saw: a tenant got 367 to 384 requests in 5 s where 350 are allowed, after its limit had changed and all registries were killed.

Cause: the former limits that bound the refill were in the memory of the process alone. A new one refilled at the full rate of the new limit while the former stock was in the window.

Change: each registry records the limits it has applied and the former ones that are relevant; a new process takes each recorded limit that is not in force as replaced at its start.

--- a/irisdeal/permits/issuer.py
+++ b/irisdeal/permits/issuer.py
@@ -5,13 +5,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from enum import Enum
 
 from irisdeal.permits.allowance import Allowance, Limit, QuotaRule, compute_allowance, refill_span_s
 from irisdeal.permits.authority import RESERVE_GUARD_S, IssuingAuthority
 from irisdeal.permits.bucket import PermitBucket
-from irisdeal.permits.limit_history import LimitHistory
+from irisdeal.permits.limit_history import FormerLimit, LimitHistory
 from irisdeal.permits.messages import PrefetchReply, PrefetchReport
 from irisdeal.permits.outstanding import LEASE_GUARD_S, OutstandingPermits
 
@@ -35,6 +35,7 @@
         # names the tenant or not; a new bucket is filled since the start of this process.
         self.buckets: dict[str, PermitBucket] = {}
         self.histories: dict[str, LimitHistory] = {}  # of the tenants with a bucket
+        self.restored_limits: dict[str, list[FormerLimit]] = {}  # of an earlier process, by tenant
         # Time after which an issued permit is neither in use nor in any window that is still open
         self.retention_s = refill_span_s(rule) + LEASE_GUARD_S
         self.outstanding = OutstandingPermits()
@@ -47,6 +48,30 @@
         self.limits = limits
         self._shares.clear()
 
+    def restore_limits(self, recorded: Mapping[str, Sequence[Limit]], now: float) -> None:
+        """Apply the limits, by tenant, under which an earlier process on this machine may have issued permits."""
+        relevant_until = now + self.retention_s
+        self.restored_limits = {
+            tenant: [FormerLimit(limit, relevant_until) for limit in limits if limit.is_limited]
+            for tenant, limits in recorded.items()
+        }
+        for tenant, history in self.histories.items():
+            restored = self.restored_limits.get(tenant, ())
+            history.former += [former for former in restored if former.limit != history.limit]
+
+    def limits_to_record(self, now: float) -> dict[str, list[Limit]]:
+        """Return each tenant's limit and the relevant former ones, for `restore_limits` after a restart."""
+        recorded = {tenant: [limit] for tenant, limit in self.limits.items() if limit.is_limited}
+        for tenant, history in self.histories.items():
+            relevant = [former.limit for former in history.former if former.relevant_until > now]
+            applied = recorded.setdefault(tenant, [])
+            applied += [limit for limit in (history.limit, *relevant) if limit not in applied]
+        for tenant, restored in self.restored_limits.items():
+            if tenant not in self.histories and any(former.relevant_until > now for former in restored):
+                applied = recorded.setdefault(tenant, [])
+                applied += [former.limit for former in restored if former.limit not in applied]
+        return recorded
+
     def may_issue(self, age_s: float | None, now: float) -> bool:
         """Whether this registry may issue permits.
 
@@ -65,10 +90,12 @@
     def bucket(self, tenant: str, now: float) -> PermitBucket:
         """Return the bucket of a tenant with a limit, adjusted to the limit, the issuers and prefetched permits."""
         bucket = self.buckets.get(tenant)
-        if bucket is None:
-            bucket = self.buckets[tenant] = self._filled_since_start(tenant, now)
-            self.histories[tenant] = LimitHistory(self.limits[tenant])
         share = self._share(tenant, now)
+        if bucket is None:
+            restored = self.restored_limits.get(tenant, ())
+            self.histories[tenant] = LimitHistory(self.limits[tenant], restored)
+            refill_per_s = self._refill_per_s(tenant, share, now)
+            bucket = self.buckets[tenant] = self._filled_since_start(share, refill_per_s, now)
         bucket.change(self._refill_per_s(tenant, share, now), self._capacity(tenant, share, now), now)
         return bucket
 
@@ -78,14 +105,13 @@
         history.observe(self.limits[tenant], now, self.retention_s)
         return min(share.refill_per_s, history.max_refill_per_s(self.rule, issuers) / issuers)
 
-    def _filled_since_start(self, tenant: str, now: float) -> PermitBucket:
+    def _filled_since_start(self, share: Allowance, refill_per_s: float, now: float) -> PermitBucket:
         """Return a bucket with all permits refilled since this process became entitled to issue."""
-        share = self._share(tenant, now)
         since = min(now, max(self.started_at, self.authority.entitled_at))
-        bucket = PermitBucket(share.refill_per_s, share.ready, since)
+        bucket = PermitBucket(refill_per_s, share.ready, since)
         if now > self.reserves_from:
             # Before, proxies may have held this share from a former incarnation.
-            bucket.change(share.refill_per_s, share.ready + share.reserved, self.reserves_from)
+            bucket.change(refill_per_s, share.ready + share.reserved, self.reserves_from)
         return bucket
 
     def _capacity(self, tenant: str, share: Allowance, now: float) -> float:
@@ -166,7 +192,10 @@
 
     def ready(self, tenant: str, now: float) -> float:
         """Return the permits of a tenant with a limit that are ready at this registry."""
-        bucket = self.buckets.get(tenant) or self._filled_since_start(tenant, now)
+        bucket = self.buckets.get(tenant)
+        if bucket is None:
+            share = self._share(tenant, now)
+            bucket = self._filled_since_start(share, share.refill_per_s, now)
         return bucket.ready(now)
 
     def partly_used(self, now: float) -> dict[str, float]:
--- a/irisdeal/permits/limit_history.py
+++ b/irisdeal/permits/limit_history.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
 from irisdeal.permits.allowance import Limit, QuotaRule, compute_allowance, refill_span_s
@@ -25,9 +25,10 @@
 class LimitHistory:
     """The limit under which a tenant's bucket issues permits, and its recent predecessors."""
 
-    def __init__(self, limit: Limit) -> None:
+    def __init__(self, limit: Limit, former: Sequence[FormerLimit] = ()) -> None:
+        """`former`: limits of an earlier process."""
         self.limit = limit
-        self.former: list[FormerLimit] = []
+        self.former = [each for each in former if each.limit != limit]
 
     def observe(self, limit: Limit, now: float, retention_s: float) -> None:
         """Apply the limit in force. `retention_s`: time for which permits of a former limit may be in use."""
--- a/irisdeal/registry/quota_service.py
+++ b/irisdeal/registry/quota_service.py
@@ -67,11 +67,14 @@
         # Time of the last request by (tenant, registry)
         self.loan_requested_at: dict[tuple[str, str], float] = {}
 
-    def configure(self, configuration: Configuration) -> None:
-        """Apply the tenants' limits of a configuration."""
-        self.issuer.configure(
-            {tenant.name: Limit(tenant.rate_per_s, tenant.burst) for tenant in configuration.tenants or ()}
-        )
+    def configure(self, configuration: Configuration) -> bool:
+        """Apply the tenants' limits of a configuration; return whether they differ from those before."""
+        limits = {
+            tenant.name: Limit(tenant.rate_per_s, tenant.burst) for tenant in configuration.tenants or ()
+        }
+        is_changed = limits != self.issuer.limits
+        self.issuer.configure(limits)
+        return is_changed
 
     # Permits
 
--- a/irisdeal/registry/server.py
+++ b/irisdeal/registry/server.py
@@ -18,12 +18,14 @@
 from irisdeal.permits.authority import IssuerList
 from irisdeal.permits.messages import LendRequest
 from irisdeal.placement.load_reports import REPORT_INTERVAL_S
-from irisdeal.registry import call_kinds
+from irisdeal.registry import call_kinds, limit_record
 from irisdeal.registry.admission_service import AdmissionService
 from irisdeal.registry.authority_monitor import AuthorityMonitor
 from irisdeal.registry.backend_table import BackendTable
+from irisdeal.registry.checked_file import CheckedFile
 from irisdeal.registry.control_api import ControlApi
 from irisdeal.registry.issuer_list_record import IssuerListRecord
+from irisdeal.registry.limit_record import LimitRecorder
 from irisdeal.registry.messages import (
     BackendUpdate,
     IncarnationReport,
@@ -99,6 +101,8 @@
             self.store_client.state_age_s,
             self.tasks,
         )
+        limits_file = CheckedFile(settings.data_path, limit_record.FILE_NAME) if settings.data_path else None
+        self.limit_recorder = LimitRecorder(self.admission.quotas.issuer, limits_file, self.tasks)
         self.control = self._new_control_api()
         self.checked_at = self.loop.time()
         self.handlers = self._handlers()
@@ -145,11 +149,16 @@
         self.tasks.start(run_periodically(CHECK_INTERVAL_S, self._check))
         self.tasks.start(run_periodically(REPORT_INTERVAL_S, self._share_loads))
         self.tasks.keep_running(lambda: self.admission.quotas.run_intervals(self._share_sum))
-        self.tasks.start(self.authority_monitor.restore())
+        self.tasks.start(self._restore_permits())
         control = parse_address(self.settings.bind.control)
         await listen_when_available(lambda: self.http.listen(control), control, max_wait_s)
         self.metrics_server.start()
 
+    async def _restore_permits(self) -> None:
+        """Load what an earlier process recorded: first its limits, as the list may let this one issue at once."""
+        await self.limit_recorder.restore()
+        await self.authority_monitor.restore()
+
     def _rpc_address(self) -> Address:
         return self.ip, ports.port(self.settings, ports.REGISTRY)
 
@@ -185,7 +194,9 @@
     def _on_version(self, version: ConfigVersion) -> None:
         checked = parse_cached(version.body)
         if isinstance(checked, Success):
-            self.admission.quotas.configure(checked.unwrap())
+            is_changed = self.admission.quotas.configure(checked.unwrap())
+            if is_changed:
+                self.limit_recorder.on_limits_changed()
 
     def _on_store_change(self) -> None:
         """Handle a newer configuration, a changed list of members, or contact with the store lost or regained."""
@@ -226,6 +237,7 @@
             self.watch.notify_proxies()
         self.admission.placements.refresh()
         self.authority_monitor.check()
+        self.limit_recorder.check()
 
     # Calls from proxies and other registries
 
--- a/tests/permits/test_limit_changes.py
+++ b/tests/permits/test_limit_changes.py
@@ -22,12 +22,12 @@
 ENFORCED_AFTER_S = 3.0 + RULE.window_s
 
 
-def make_issuer(limits: dict[str, Limit]) -> PermitIssuer:
+def make_issuer(limits: dict[str, Limit], started_at: float = 0.0) -> PermitIssuer:
     """Return one issuer of four that has been a member for long."""
     authority = IssuingAuthority("a")
-    authority.restore_recorded(LISTED, 0.0)
-    authority.observe_list(LISTED, 0.0)
-    issuer = PermitIssuer(1, RULE, authority, 0.0)
+    authority.restore_recorded(LISTED, started_at)
+    authority.observe_list(LISTED, started_at)
+    issuer = PermitIssuer(1, RULE, authority, started_at)
     issuer.configure(limits)
     return issuer
 
@@ -171,3 +171,39 @@
 @pytest.mark.parametrize("first", range(0, 60, 20))
 def test_random_changes_of_a_limit_exceed_no_window(first: int) -> None:
     assert max(map(play_random_changes, range(first, first + 20))) <= 1.0
+
+
+FORMER, NEXT = Limit(5.0, 275.0), Limit(60.0)
+
+
+# Guards against QUOTA: registries that started anew after a change of a limit did not know the former one.
+@pytest.mark.parametrize("changed_after_s", [0.0, 0.1, 0.5, 2.0])
+@pytest.mark.parametrize("restarted_after_s", [-0.05, 0.0, 0.1, 0.6, 3.0])
+def test_an_issuer_that_restarts_after_a_change_bounds_its_refill(
+    changed_after_s: float, restarted_after_s: float
+) -> None:
+    """The restart is after the change by `restarted_after_s`; if before, the former process never heard of it."""
+    issuer, window, limit, now = make_issuer({"t": FORMER}), Window(), FORMER, 10.0
+    changed_at, restart_at = now + changed_after_s, now + max(0.0, changed_after_s + restarted_after_s)
+    is_restarted = False
+    while now < 20.0:
+        if limit is FORMER and now >= changed_at and (is_restarted or restarted_after_s >= 0):
+            issuer.configure({"t": NEXT})
+            window.replace(FORMER, now)
+            limit = NEXT
+        if not is_restarted and now >= restart_at:
+            recorded = issuer.limits_to_record(now)
+            issuer = make_issuer({"t": limit}, now)
+            issuer.restore_limits(recorded, now)
+            is_restarted = True
+        while issuer.claim("t", CONFIRMED_AGE_S, now) is ClaimResult.GRANTED:
+            window.admit(now, limit)
+        now += STEP_S
+    assert window.worst <= 1.0
+
+
+def test_an_issuer_that_restarts_under_the_same_limit_refills_at_its_full_rate() -> None:
+    issuer = make_issuer({"t": NEXT}, 10.0)
+    issuer.restore_limits({"t": [NEXT]}, 10.0)
+    plain = make_issuer({"t": NEXT}, 10.0)
+    assert issuer.bucket("t", 11.0).ready(11.0) == plain.bucket("t", 11.0).ready(11.0) > 0
