--- a/benchmarks/loopback_deployment.py
+++ b/benchmarks/loopback_deployment.py
@@ -63,9 +63,10 @@
         proxies: int,
         cores: int = DEFAULT_CORE_COUNT,
         log_to_pipe: bool = False,
+        root: Path = ROOT,
     ) -> None:
-        """`log_to_pipe`: standard error is a pipe, which the caller reads, in place of a file."""
-        self.folder, self.log_to_pipe = folder, log_to_pipe
+        """`log_to_pipe`: standard error is a pipe, which the caller reads, in place of a file; `root`: checkout."""
+        self.folder, self.log_to_pipe, self.root = folder, log_to_pipe, root
         self.cores = [f"127.{network}.0.{number + 1}" for number in range(cores)]
         self.proxies = [f"127.{network}.1.{number + 1}" for number in range(proxies)]
         self.backend = f"127.{network}.2.1"
@@ -111,7 +112,7 @@
                 log = stack.enter_context((self.folder / f"{role}-{ip}.log").open("ab"))
             process = subprocess.Popen(
                 [sys.executable, "-S", "-m", f"irisdeal.{role}"],
-                cwd=ROOT,
+                cwd=self.root,
                 stdin=subprocess.DEVNULL,
                 stdout=subprocess.DEVNULL,
                 stderr=log,
--- a/tests/runtime/test_metrics.py
+++ b/tests/runtime/test_metrics.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
 import pytest
 from prometheus_client.parser import text_string_to_metric_families
@@ -91,3 +92,23 @@
     answer = asyncio.run(ask())
     assert answer.status == status
     assert (status == 200) == answer.body.startswith(b"# HELP irisdeal_")
+
+
+# Guards against Fault: a metrics port in use ended a process that needs no metrics to serve.
+def test_a_metrics_port_in_use_is_waited_for_in_the_background() -> None:
+    async def scenario() -> None:
+        with socket.socket() as holder:
+            holder.bind(("127.0.0.1", 0))
+            holder.listen()
+            port = holder.getsockname()[1]
+            settings = Settings("n", "r", "127.0.0.1", "z", (7000, 7010), (), metrics=f"{port}/metrics")
+            server = MetricsServer(settings, ProxyMetrics(), asyncio.get_running_loop())
+            server.start()
+            await asyncio.sleep(0.05)
+            assert server.http.listener is None
+        async with asyncio.timeout(5.0):
+            while server.http.listener is None:
+                await asyncio.sleep(0.01)
+        server.close()
+
+    asyncio.run(scenario())
