Free the bodies of a request whose attempt was abandoned, without the garbage collector

Cause: a request that was answered while another attempt ran kept that attempt in its list, and the attempt refers to the request by its callback.

Change: the lists of attempts are emptied at the end, and an attempt that ends after it was abandoned is not added.

The new test fails before (one is held) and passes.

--- a/irisdeal/proxy/request_attempts.py
+++ b/irisdeal/proxy/request_attempts.py
@@ -64,6 +64,9 @@
         finally:
             for attempt in self.running:
                 attempt.abandon("client left" if self._has_disconnected() else "answered by another")
+            # An attempt refers to this object: without a way back, bodies are freed with the last reference.
+            self.running.clear()
+            self.ended.clear()
 
     def reject(self) -> bool:
         """Reject the request as the process terminates; False if an attempt was sent and may have been executed."""
@@ -195,7 +198,8 @@
                 timer.cancel()
 
     def _on_ended(self, attempt: Attempt) -> None:
-        self.ended.append(attempt)
+        if attempt in self.running:  # it was not abandoned
+            self.ended.append(attempt)
         self._notify_waiter()
 
     def _notify_waiter(self) -> None:
--- a/tests/proxy/test_request_attempts.py
+++ b/tests/proxy/test_request_attempts.py
@@ -5,6 +5,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import gc
 import json
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -17,10 +19,12 @@
 from irisdeal.proxy.attempt_outcome import AttemptEnd, AttemptOutcome
 from irisdeal.proxy.backend_request import BackendRequest
 from irisdeal.proxy.process import Proxy
+from irisdeal.proxy.request_attempts import RequestAttempts
 from irisdeal.proxy.route_table import Route
 from irisdeal.registry.incarnation import BackendIncarnation, BackendState
 from irisdeal.runtime.settings import Bind, Settings
 from irisdeal.simulation.cpu import Core, Costs
+from irisdeal.simulation.errors import SimulationStalledError
 from irisdeal.simulation.machine import Machine
 from irisdeal.simulation.network import Network
 from irisdeal.simulation.world import START_US, World
@@ -214,6 +218,25 @@
     assert len(proxy_run.sent) == 2 and proxy_run.duration_s < 0.7
 
 
+# Guards against Fault: bodies of ended requests were held until the garbage collector ran, beside a full budget.
+def test_a_request_whose_attempt_was_abandoned_is_freed_without_the_garbage_collector() -> None:
+    def held() -> int:
+        return sum(isinstance(held, RequestAttempts) for held in gc.get_objects())
+
+    gc.collect()
+    before = held()
+    gc.disable()
+    try:
+        run = ProxyRun("idempotent", [(1.5, GOOD), (0.01, GOOD)])
+        assert run.send_request().status == 200
+        assert len(run.sent) == 2
+        with contextlib.suppress(SimulationStalledError):  # until the abandoned attempt has ended, too
+            run.world.run(lambda: False, START_US + 11_000_000)
+        assert held() == before
+    finally:
+        gc.enable()
+
+
 def test_a_mutating_request_is_not_hedged() -> None:
     proxy_run = ProxyRun("mutating", [(1.4, GOOD)])
     assert proxy_run.send_request().status == 200 and len(proxy_run.sent) == 1
