--- a/benchmarks/process_soak/lives.py
+++ b/benchmarks/process_soak/lives.py
@@ -28,6 +28,7 @@
     RECOVERY_S,
     Deployment,
 )
+from irisdeal.runtime.exit_codes import ExitCode
 
 POLL_INTERVAL_S = 0.01
 MEMORY_POLL_INTERVAL_S = 0.03
@@ -72,6 +73,7 @@
     excused_until: float = 0.0  # end of the last trouble that holds the process up
     troubles: int = 0  # that hold it up now
     signals: list[str] = field(default_factory=list)
+    does_disk_refuse: bool = False  # all writes, by a trouble
 
     @property
     def name(self) -> str:
@@ -228,6 +230,9 @@
             self.counts["killed"] += 1
         elif code < 0 and life.was_signalled_unprepared:
             self.counts["signalled before the first line of the program"] += 1
+        elif life.does_disk_refuse and code == ExitCode.FAILED:
+            # RULES, Own ends: an end during trouble on the machine does not count.
+            self.counts["ended while its disk refused writes"] += 1
         elif life.stop_requested_at is None:
             self._report("OWN END", life, f"code {code}, {now - life.started_at:.2f} s after its start")
         elif code != 0:
--- a/benchmarks/process_soak/troubles.py
+++ b/benchmarks/process_soak/troubles.py
@@ -243,9 +243,11 @@
         life = self._life(key)
         no_limit = (resource.RLIM_INFINITY, resource.RLIM_INFINITY)
         with contextlib.suppress(ProcessLookupError), self.lives.trouble(life):
+            life.does_disk_refuse = True
             resource.prlimit(life.process.pid, resource.RLIMIT_FSIZE, (0, resource.RLIM_INFINITY))
             await asyncio.sleep(self.rng.uniform(0.1, 3.0))
             resource.prlimit(life.process.pid, resource.RLIMIT_FSIZE, no_limit)
+            life.does_disk_refuse = False
 
     async def long_bodies(self, key: tuple[str, str]) -> None:
         """A long body with long responses beside shorter ones that are under way, at a proxy."""
