--- a/tests/config_store/test_incremental_reading.py
+++ b/tests/config_store/test_incremental_reading.py
@@ -296,7 +296,7 @@
     assert isinstance(run_to_completion(read_incrementally(body(data), None)), Failure)
 
 
-# Guards against CONFIG: a configuration with `NaN` was acknowledged, and a route answered each request with 500.
+# Guards against CONFIG: a configuration with `NaN` was acknowledged, and requests of its route got 500.
 @pytest.mark.parametrize("number", ["NaN", "Infinity", "-Infinity", "1e999", "1" + 400 * "0"])
 @pytest.mark.parametrize("field", ["weight", "timeout_ms", "target_ms", "burst", "rate_per_s", "unknown"])
 def test_numbers_that_are_not_finite_are_invalid(field: str, number: str) -> None:
--- a/tests/http1/test_body_memory.py
+++ b/tests/http1/test_body_memory.py
@@ -316,7 +316,7 @@
 LONG_BYTES, PAYMENT_BYTES, PAYMENT_COUNT = 62 * MIB, 4 * MIB, 28
 
 
-# Guards against Fault: the body and two responses of the oldest request, beside others, exceeded the memory limit.
+# Guards against Fault: body and two responses of the oldest request, beside others, exceeded the limit.
 @pytest.mark.parametrize("memory_mb", [200, 300])
 def test_a_long_body_with_two_long_responses_stays_within_the_limit(memory_mb: int) -> None:
     async def scenario() -> None:
--- a/tests/proxy/test_request_attempts.py
+++ b/tests/proxy/test_request_attempts.py
@@ -218,7 +218,7 @@
     assert len(proxy_run.sent) == 2 and proxy_run.duration_s < 0.7
 
 
-# Guards against Fault: bodies of ended requests were held until the garbage collector ran, beside a full budget.
+# Guards against Fault: bodies of ended requests were held, beside a full budget, until a garbage collection.
 def test_a_request_whose_attempt_was_abandoned_is_freed_without_the_garbage_collector() -> None:
     def held() -> int:
         return sum(isinstance(held, RequestAttempts) for held in gc.get_objects())
--- a/tests/system/test_process_ends.py
+++ b/tests/system/test_process_ends.py
@@ -144,7 +144,8 @@
 def test_a_start_reads_half_written_settings_again(rig: Rig, role: str) -> None:
     path = rig.deployment.settings_path(role, rig.addresses[role])
     text = rig.deployment.settings_text(role, rig.addresses[role], is_first=True)
-    rig.deployment.settings_text = lambda *_: text[: text.index("readiness = ") + 20]  # type: ignore[method-assign]
+    half = text[: text.index("readiness = ") + 20]
+    rig.deployment.settings_text = lambda *_: half  # type: ignore[method-assign]
     process = rig.start(role)
     wait_until(lambda: process.poll() is not None or "E104" in rig.log(role))
     path.write_text(text)
