--- a/tests/permits/test_limit_changes.py
+++ b/tests/permits/test_limit_changes.py
@@ -182,7 +182,7 @@
 def test_an_issuer_that_restarts_after_a_change_bounds_its_refill(
     changed_after_s: float, restarted_after_s: float
 ) -> None:
-    """The restart is `restarted_after_s` after the change; if before, the former process never heard of it."""
+    """The restart is `restarted_after_s` after the change; if before, the former process never knew it."""
     issuer, window, limit, now = make_issuer({"t": FORMER}), Window(), FORMER, 10.0
     changed_at, restart_at = now + changed_after_s, now + max(0.0, changed_after_s + restarted_after_s)
     is_restarted = False
